--- /dev/null
+++ b/src/call/attempt_cmd.cpp
@@ -0,0 +1,378 @@
+// Attempts: what is known of each offer, and what a call may conclude from it.
+#include "call/attempt_func.h"
+#include "call/call_func.h"
+#include "fleet/instance_func.h"
+#include "measure/choose_func.h"
+#include "world/world.h"
+
+#include <algorithm>
+#include <array>
+
+namespace radishford {
+
+namespace {
+
+// An offer without a reply for this long is withdrawn.
+constexpr Millis OfferTimeout{ 250 };
+// A withdrawal without confirmation for this long leaves the outcome unknown.
+constexpr Millis WithdrawTimeout{ 500 };
+// Backend server failures after which a call is not tried again.
+constexpr std::int32_t MaxBackendFailures = 2;
+
+// The row of an attempt named by an event; counts events about rows that have ended.
+Attempt *findAttempt(World &world, AttemptId id)
+{
+    Attempt *attempt = world.calls_.attempts_.get(id);
+    if (attempt == nullptr) {
+        world.counters_.add(Counter::LateMessages);
+    }
+    return attempt;
+}
+
+// True for refusals that every other inbound side would repeat.
+bool isFinal(ResultCode code)
+{
+    constexpr std::array Final{ ResultCode::Quarantined, ResultCode::KeyMismatch, ResultCode::KeyTaken,     ResultCode::KeyRequired,
+                                ResultCode::StoreDown,   ResultCode::BodyBroken,  ResultCode::BodyTooLarge, ResultCode::DeadlineNotRun };
+    return std::find(Final.begin(), Final.end(), code) != Final.end();
+}
+
+// True when the instance itself, rather than its load, is the reason of a failure.
+bool blamesInstance(ResultCode code)
+{
+    constexpr std::array Blaming{ ResultCode::PeerUnreachable, ResultCode::BackendUnreachable, ResultCode::BackendFailed, ResultCode::AnswerLost,
+                                  ResultCode::BackendNotReady, ResultCode::BackendDraining,    ResultCode::NotReady,      ResultCode::DaemonLeaving };
+    return std::find(Blaming.begin(), Blaming.end(), code) != Blaming.end();
+}
+
+// Takes note that the instance failed the call.
+void blame(World &world, const Attempt &attempt, ResultCode code)
+{
+    Instance *instance = world.fleet_.rows_.get(attempt.instance_);
+    if (instance != nullptr && blamesInstance(code)) {
+        avoid(world, *instance);
+    }
+}
+
+// An attempt ended without running the request: tries elsewhere, or ends the call.
+void concludeNotRun(World &world, AttemptId id, ResultCode code, bool drop)
+{
+    const Attempt attempt = *world.calls_.attempts_.get(id);
+    blame(world, attempt, code);
+    endAttempt(world, id, code, drop);
+    Call &call = *world.calls_.calls_.get(attempt.call_);
+    call.tried_.push_back(attempt.instanceName_);
+    call.lastCode_ = code;
+    if (call.state_ == CallState::Ending) {
+        if (call.attempts_.empty()) {
+            failCall(world, attempt.call_, call.maybeRan_ ? ResultCode::DeadlineUnknown : ResultCode::DeadlineNotRun);
+        }
+        return;
+    }
+    if (isFinal(code)) {
+        failCall(world, attempt.call_, code);
+        return;
+    }
+    call.state_ = call.attempts_.empty() ? CallState::Routing : CallState::Offering;
+    routeAgain(world, attempt.call_);
+}
+
+// True when a call whose request may have run can be run again.
+bool mayRerun(const Call &call)
+{
+    return call.idempotent_ && call.replayable_ && call.backendFailures_ < MaxBackendFailures && call.state_ != CallState::Ending;
+}
+
+// An attempt ended and may have run the request: tries again if that does no harm, or ends the call.
+void concludeUnknown(World &world, AttemptId id, ResultCode code, bool drop)
+{
+    const Attempt attempt = *world.calls_.attempts_.get(id);
+    blame(world, attempt, code);
+    endAttempt(world, id, code, drop);
+    Call &call = *world.calls_.calls_.get(attempt.call_);
+    call.tried_.push_back(attempt.instanceName_);
+    call.maybeRan_ = true;
+    call.lastCode_ = code;
+    call.backendFailures_ += code == ResultCode::BackendFailed ? 1 : 0;
+    if (isFinal(code) || !mayRerun(call)) {
+        failCall(world, attempt.call_, call.state_ == CallState::Ending ? ResultCode::DeadlineUnknown : code);
+        return;
+    }
+    call.state_ = call.attempts_.empty() ? CallState::Routing : CallState::Offering;
+    routeAgain(world, attempt.call_);
+}
+
+// An answer broke after its head was passed on: the caller must see that it is not whole.
+void abortRelay(World &world, const Attempt &attempt)
+{
+    const Call &call = *world.calls_.calls_.get(attempt.call_);
+    ++world.counters_.results_[ResultCode::AnswerLost];
+    world.emit(AbortCall{ call.handle_ });
+    removeCall(world, attempt.call_, ResultCode::AnswerLost);
+}
+
+// Lets an attempt run, and withdraws the call's others.
+void letRun(World &world, AttemptId id)
+{
+    Attempt &attempt = *world.calls_.attempts_.get(id);
+    attempt.state_ = AttemptState::Running;
+    Call &call = *world.calls_.calls_.get(attempt.call_);
+    call.state_ = CallState::Running;
+    const std::vector<AttemptId> attempts = call.attempts_;
+    for (const AttemptId other : attempts) {
+        if (other != id) {
+            withdrawAttempt(world, other);
+            endAttempt(world, other, ResultCode::Withdrawn, true);
+        }
+    }
+}
+
+// An offer was admitted.
+void takeAdmitted(World &world, AttemptId id)
+{
+    const Attempt &attempt = *world.calls_.attempts_.get(id);
+    const bool runsAlready = attempt.bodyRode_ && attempt.state_ == AttemptState::Offered;
+    const bool wanted = attempt.state_ == AttemptState::Offered || attempt.state_ == AttemptState::Queued;
+    if (!wanted) {
+        return;
+    }
+    if (!runsAlready) {
+        world.emit(SendGo{ id });
+    }
+    letRun(world, id);
+}
+
+// An offer was queued: it cannot run without Go, so another may be made.
+void takeQueued(World &world, AttemptId id)
+{
+    Attempt &attempt = *world.calls_.attempts_.get(id);
+    if (attempt.state_ == AttemptState::Offered) {
+        attempt.state_ = AttemptState::Queued;
+        routeAgain(world, attempt.call_);
+    }
+}
+
+// A withdrawal came too late: the answer is awaited after all, unless the deadline has passed.
+void resumeAttempt(World &world, Attempt &attempt)
+{
+    Call &call = *world.calls_.calls_.get(attempt.call_);
+    if (call.state_ != CallState::Ending) {
+        attempt.state_ = AttemptState::Running;
+        call.state_ = CallState::Running;
+    }
+}
+
+// Takes a load report of an attempt's instance.
+void noteReport(World &world, const Attempt &attempt, const LoadReport &report)
+{
+    Instance *instance = world.fleet_.rows_.get(attempt.instance_);
+    if (instance != nullptr) {
+        takeReport(world, *instance, report);
+    }
+}
+
+// Builds the offer of an attempt.
+Offer makeOffer(World &world, const Call &call, CallId callId, AttemptId id)
+{
+    const Attempt &attempt = *world.calls_.attempts_.get(id);
+    Offer offer;
+    offer.attempt_ = id.packed();
+    offer.sender_ = world.settings_.name_;
+    offer.callToken_ = world.settings_.name_.value() + ":" + std::to_string(world.settings_.incarnation_.value()) + ":" + std::to_string(callId.packed());
+    offer.service_ = call.service_;
+    offer.class_ = call.class_;
+    offer.remaining_ = call.deadline_ - world.now_;
+    offer.fingerprint_ = call.fingerprint_;
+    offer.key_ = call.key_;
+    offer.bodyRides_ = attempt.bodyRode_;
+    offer.wholeBodyFirst_ = call.wholeBodyFirst_;
+    offer.trace_ = call.trace_;
+    offer.parentSpan_ = attempt.span_;
+    return offer;
+}
+
+} // namespace
+
+bool mayRun(const Attempt &attempt)
+{
+    switch (attempt.state_) {
+    case AttemptState::Offered:
+        return attempt.bodyRode_;
+    case AttemptState::Queued:
+        return false;
+    default:
+        return true;
+    }
+}
+
+void startAttempt(World &world, CallId callId, InstanceId instanceId)
+{
+    Instance &instance = *world.fleet_.rows_.get(instanceId);
+    Call &call = *world.calls_.calls_.get(callId);
+    Attempt attempt;
+    attempt.call_ = callId;
+    attempt.instance_ = instanceId;
+    attempt.instanceName_ = instance.record_.name_;
+    attempt.bodyRode_ = call.mayRide_ && call.attempts_.empty();
+    attempt.startedAt_ = world.now_;
+    attempt.isRetry_ = call.attemptsStarted_ > 0;
+    attempt.span_ = drawSpan(world);
+    const AttemptId id = world.calls_.attempts_.create(attempt);
+    call.attempts_.push_back(id);
+    ++call.attemptsStarted_;
+    call.state_ = CallState::Offering;
+    ++instance.outstanding_;
+    ++instance.startedSinceReport_;
+    world.counters_.add(Counter::Attempts);
+    if (attempt.isRetry_) {
+        world.counters_.add(Counter::Retries);
+    }
+    world.timers_.add(world.now_ + OfferTimeout, TimerKind::OfferReply, id.packed());
+    const Purpose purpose = attempt.isRetry_ ? Purpose::Retry : Purpose::Call;
+    world.emit(StartExchange{ id, call.handle_, instance.record_.address_, makeOffer(world, call, callId, id), purpose });
+}
+
+void endAttempt(World &world, AttemptId id, ResultCode code, bool drop)
+{
+    const Attempt attempt = *world.calls_.attempts_.get(id);
+    Instance *instance = world.fleet_.rows_.get(attempt.instance_);
+    if (instance != nullptr) {
+        --instance->outstanding_;
+    }
+    Call &call = *world.calls_.calls_.get(attempt.call_);
+    std::erase(call.attempts_, id);
+    world.emit(EndSpan{ call.trace_, attempt.span_, call.span_, "attempt", attempt.instanceName_.value(), attempt.startedAt_, world.now_, code });
+    if (drop) {
+        world.emit(DropExchange{ id });
+    }
+    world.calls_.attempts_.remove(id);
+}
+
+bool withdrawAttempt(World &world, AttemptId id)
+{
+    Attempt &attempt = *world.calls_.attempts_.get(id);
+    const bool awaited = mayRun(attempt);
+    if (attempt.state_ != AttemptState::Withdrawing) {
+        world.emit(SendWithdraw{ id });
+    }
+    if (awaited) {
+        attempt.state_ = AttemptState::Withdrawing;
+        world.timers_.add(world.now_ + WithdrawTimeout, TimerKind::WithdrawReply, id.packed());
+    }
+    return awaited;
+}
+
+void handle(World &world, const OfferReplied &event)
+{
+    const Attempt *attempt = findAttempt(world, event.attempt_);
+    if (attempt == nullptr) {
+        return;
+    }
+    noteReport(world, *attempt, event.reply_.report_);
+    switch (event.reply_.verdict_) {
+    case Verdict::Admitted:
+        takeAdmitted(world, event.attempt_);
+        break;
+    case Verdict::Queued:
+        takeQueued(world, event.attempt_);
+        break;
+    case Verdict::Refused:
+        concludeNotRun(world, event.attempt_, static_cast<ResultCode>(event.reply_.code_), false);
+        break;
+    }
+}
+
+void handle(World &world, const WithdrawReplied &event)
+{
+    Attempt *attempt = findAttempt(world, event.attempt_);
+    if (attempt == nullptr) {
+        return;
+    }
+    if (event.handedOver_) {
+        resumeAttempt(world, *attempt);
+        return;
+    }
+    concludeNotRun(world, event.attempt_, ResultCode::Withdrawn, false);
+}
+
+void handle(World &world, const AttemptFailed &event)
+{
+    const Attempt *attempt = findAttempt(world, event.attempt_);
+    if (attempt == nullptr) {
+        return;
+    }
+    noteReport(world, *attempt, event.report_);
+    if (attempt->state_ == AttemptState::Relaying) {
+        abortRelay(world, *attempt);
+    } else if (provesNotRun(event.code_)) {
+        concludeNotRun(world, event.attempt_, event.code_, false);
+    } else {
+        concludeUnknown(world, event.attempt_, event.code_, false);
+    }
+}
+
+void handle(World &world, const AnswerStarted &event)
+{
+    Attempt *attempt = findAttempt(world, event.attempt_);
+    if (attempt == nullptr) {
+        return;
+    }
+    letRun(world, event.attempt_);
+    attempt->state_ = AttemptState::Relaying;
+    Call &call = *world.calls_.calls_.get(attempt->call_);
+    call.state_ = CallState::Relaying;
+    world.emit(RelayAnswer{ call.handle_, event.attempt_ });
+}
+
+void handle(World &world, const AnswerCompleted &event)
+{
+    const Attempt *attempt = findAttempt(world, event.attempt_);
+    if (attempt == nullptr) {
+        return;
+    }
+    noteReport(world, *attempt, event.report_);
+    ++world.counters_.results_[ResultCode::Ok];
+    const CallId call = attempt->call_;
+    endAttempt(world, event.attempt_, ResultCode::Ok, false);
+    removeCall(world, call, ResultCode::Ok);
+}
+
+void handle(World &world, const ExchangeLost &event)
+{
+    const Attempt *attempt = findAttempt(world, event.attempt_);
+    if (attempt == nullptr) {
+        return;
+    }
+    if (attempt->state_ == AttemptState::Relaying) {
+        abortRelay(world, *attempt);
+        return;
+    }
+    if (event.neverSent_ || !mayRun(*attempt)) {
+        concludeNotRun(world, event.attempt_, ResultCode::PeerUnreachable, false);
+    } else {
+        concludeUnknown(world, event.attempt_, ResultCode::AnswerLost, false);
+    }
+}
+
+void expireOffer(World &world, std::uint64_t row)
+{
+    const AttemptId id = AttemptId::fromPacked(row);
+    const Attempt *attempt = world.calls_.attempts_.get(id);
+    if (attempt == nullptr || attempt->state_ != AttemptState::Offered) {
+        return;
+    }
+    if (!withdrawAttempt(world, id)) {
+        concludeNotRun(world, id, ResultCode::PeerUnreachable, true);
+    }
+}
+
+void expireWithdrawal(World &world, std::uint64_t row)
+{
+    const AttemptId id = AttemptId::fromPacked(row);
+    const Attempt *attempt = world.calls_.attempts_.get(id);
+    if (attempt != nullptr && attempt->state_ == AttemptState::Withdrawing) {
+        concludeUnknown(world, id, ResultCode::PeerSilent, true);
+    }
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/call/call_cmd.cpp
@@ -0,0 +1,266 @@
+// Calls of callers: taking, routing, ending.
+#include "call/attempt_func.h"
+#include "call/call_func.h"
+#include "call/suspect_func.h"
+#include "fleet/instance_func.h"
+#include "measure/choose_func.h"
+#include "measure/probe_func.h"
+#include "ticket/ticket_func.h"
+#include "world/world.h"
+
+#include <algorithm>
+
+namespace radishford {
+
+namespace {
+
+// Most attempts of one call.
+constexpr std::int32_t MaxAttempts = 4;
+// Offers of one call that may be open at a time.
+constexpr std::size_t MaxLiveAttempts = 2;
+// A call that found no backend server looks again after this time, while its deadline allows.
+constexpr Millis RetryWait{ 50 };
+// Share of the deadline that a call may spend looking for a backend server.
+constexpr std::int64_t LookingShare = 4;
+// Cost of a further offer, in parts of a full retry: it runs nothing twice.
+constexpr double ReofferCost = 0.25;
+// Cost of a further run of an idempotent request.
+constexpr double RerunCost = 1.0;
+// Retries that a service may save up.
+constexpr double RetryBurst = 20.0;
+constexpr double PermilleScale = 1000.0;
+
+// True when a class takes a request.
+bool matches(const RequestClass &candidate, const std::string &method, const std::string &path)
+{
+    const auto &methods = candidate.methods_;
+    const bool methodFits = methods.empty() || std::find(methods.begin(), methods.end(), method) != methods.end();
+    return methodFits && path.starts_with(candidate.pathPrefix_);
+}
+
+// The class of a call by name; nullptr when a ticket has removed it.
+const RequestClass *findClass(const ServiceSpec &spec, const ClassName &name)
+{
+    const auto found = std::find_if(spec.classes_.begin(), spec.classes_.end(), [&](const RequestClass &row) { return row.name_ == name; });
+    return found == spec.classes_.end() ? nullptr : &*found;
+}
+
+// Why a call cannot be taken, or Ok.
+ResultCode refusalOf(const World &world, const CallArrived &event, const RequestClass *requestClass)
+{
+    if (isLeaving(world)) {
+        return ResultCode::DaemonLeaving;
+    }
+    if (!world.tickets_.current_) {
+        return ResultCode::NotReady;
+    }
+    if (requestClass == nullptr) {
+        return ResultCode::UnknownService;
+    }
+    if (world.calls_.calls_.size() >= world.settings_.maxCalls_) {
+        return ResultCode::TooManyCalls;
+    }
+    return isQuarantined(world, event.fingerprint_) ? ResultCode::Quarantined : ResultCode::Ok;
+}
+
+// The retry allowance of a service, created full on first use.
+TokenBucket &retryBudget(World &world, const ServiceName &service)
+{
+    auto found = world.calls_.retryBudgets_.find(service);
+    if (found == world.calls_.retryBudgets_.end()) {
+        TokenBucket bucket(0, RetryBurst, world.now_);
+        bucket.earn(RetryBurst);
+        found = world.calls_.retryBudgets_.emplace(service, bucket).first;
+    }
+    return found->second;
+}
+
+// Builds the row of a call.
+Call makeCall(World &world, const CallArrived &event, const RequestClass &requestClass)
+{
+    Call call;
+    call.handle_ = event.handle_;
+    call.service_ = event.service_;
+    call.class_ = event.class_;
+    call.idempotent_ = requestClass.idempotent_;
+    call.replayable_ = event.replayable_;
+    call.mayRide_ = event.mayRide_;
+    call.wholeBodyFirst_ = !requestClass.streamed_;
+    call.fingerprint_ = event.fingerprint_;
+    call.key_ = event.key_;
+    call.startedAt_ = world.now_;
+    const Millis timeout = event.timeout_ > Millis() ? std::min(event.timeout_, requestClass.deadline_) : requestClass.deadline_;
+    call.deadline_ = world.now_ + timeout;
+    call.trace_ = event.trace_;
+    call.parentSpan_ = event.parentSpan_;
+    call.span_ = drawSpan(world);
+    return call;
+}
+
+// Tells the front end and the counters about a call that failed.
+void reportFailure(World &world, const CallHandle &handle, ResultCode code, const TraceId &trace)
+{
+    ++world.counters_.results_[code];
+    world.emit(FailCall{ handle, code, trace });
+}
+
+// Takes from the retry allowance what a further attempt costs. True for first attempts.
+bool payForAttempt(World &world, const Call &call)
+{
+    TokenBucket &budget = retryBudget(world, call.service_);
+    if (call.attemptsStarted_ == 0) {
+        const ServiceSpec *spec = findService(world, call.service_);
+        budget.earn(spec == nullptr ? 0 : spec->retryBudget_.value() / PermilleScale);
+        return true;
+    }
+    return budget.take(call.maybeRan_ ? RerunCost : ReofferCost, world.now_);
+}
+
+// No backend server can be asked now: waits, or gives up.
+void handleNoCandidate(World &world, CallId id, const Call &call)
+{
+    if (!call.attempts_.empty()) {
+        return;
+    }
+    const Millis lookUntil = call.startedAt_ + Millis::fromMicros((call.deadline_ - call.startedAt_).micros() / LookingShare);
+    const bool nothingTried = call.tried_.empty() && !call.maybeRan_;
+    if (nothingTried && world.now_ + RetryWait < lookUntil) {
+        world.timers_.add(world.now_ + RetryWait, TimerKind::CallRetry, id.packed());
+        return;
+    }
+    failCall(world, id, call.lastCode_);
+}
+
+// Starts a further attempt of one call if that is possible.
+void routeCall(World &world, CallId id)
+{
+    const Call *call = world.calls_.calls_.get(id);
+    const bool waiting = call != nullptr && (call->state_ == CallState::Routing || call->state_ == CallState::Offering);
+    if (!waiting || call->attempts_.size() >= MaxLiveAttempts) {
+        return;
+    }
+    const bool exhausted = call->attemptsStarted_ >= MaxAttempts;
+    const InstanceId instance = exhausted ? InstanceId{} : chooseInstance(world, *call);
+    if (!instance.isValid()) {
+        handleNoCandidate(world, id, *call);
+        return;
+    }
+    if (!payForAttempt(world, *call)) {
+        if (call->attempts_.empty()) {
+            failCall(world, id, call->maybeRan_ ? call->lastCode_ : ResultCode::RetryBudgetSpent);
+        }
+        return;
+    }
+    startAttempt(world, id, instance);
+}
+
+} // namespace
+
+Classification classify(const World &world, const ServiceName &service, const std::string &method, const std::string &path, bool hasKey)
+{
+    if (!world.tickets_.current_) {
+        return Classification{ ResultCode::NotReady, nullptr };
+    }
+    const ServiceSpec *spec = findService(world, service);
+    if (spec == nullptr) {
+        return Classification{ ResultCode::UnknownService, nullptr };
+    }
+    const auto found = std::find_if(spec->classes_.begin(), spec->classes_.end(), [&](const RequestClass &row) { return matches(row, method, path); });
+    if (found == spec->classes_.end()) {
+        return Classification{ ResultCode::UnknownService, nullptr };
+    }
+    if (found->keyRequired_ && !hasKey) {
+        return Classification{ ResultCode::KeyRequired, nullptr };
+    }
+    return Classification{ ResultCode::Ok, &*found };
+}
+
+void handle(World &world, const CallArrived &event)
+{
+    world.counters_.add(Counter::Calls);
+    const ServiceSpec *spec = findService(world, event.service_);
+    const RequestClass *requestClass = spec == nullptr ? nullptr : findClass(*spec, event.class_);
+    const ResultCode refusal = refusalOf(world, event, requestClass);
+    if (refusal != ResultCode::Ok) {
+        reportFailure(world, event.handle_, refusal, event.trace_);
+        return;
+    }
+    noteActive(world, event.service_);
+    const Call call = makeCall(world, event, *requestClass);
+    const Millis deadline = call.deadline_;
+    const CallId id = world.calls_.calls_.create(call);
+    world.calls_.byHandle_[event.handle_] = id;
+    world.timers_.add(deadline, TimerKind::CallDeadline, id.packed());
+    routeAgain(world, id);
+}
+
+void handle(World &world, const CallerGone &event)
+{
+    const auto found = world.calls_.byHandle_.find(event.handle_);
+    if (found == world.calls_.byHandle_.end()) {
+        return;
+    }
+    removeCall(world, found->second, ResultCode::Withdrawn);
+}
+
+void runRoute(World &world)
+{
+    while (!world.calls_.toRoute_.empty()) {
+        const std::vector<CallId> ids = std::exchange(world.calls_.toRoute_, {});
+        for (const CallId id : ids) {
+            routeCall(world, id);
+        }
+    }
+}
+
+void expireCall(World &world, std::uint64_t row)
+{
+    const CallId id = CallId::fromPacked(row);
+    Call *call = world.calls_.calls_.get(id);
+    if (call == nullptr || call->state_ == CallState::Relaying || call->state_ == CallState::Ending) {
+        return;
+    }
+    call->state_ = CallState::Ending;
+    const std::vector<AttemptId> attempts = call->attempts_;
+    for (const AttemptId attempt : attempts) {
+        if (!withdrawAttempt(world, attempt)) {
+            endAttempt(world, attempt, ResultCode::DeadlineNotRun, true);
+        }
+    }
+    if (call->attempts_.empty()) {
+        failCall(world, id, call->maybeRan_ ? ResultCode::DeadlineUnknown : ResultCode::DeadlineNotRun);
+    }
+}
+
+void expireRetryWait(World &world, std::uint64_t row)
+{
+    routeAgain(world, CallId::fromPacked(row));
+}
+
+void failCall(World &world, CallId id, ResultCode code)
+{
+    const Call *call = world.calls_.calls_.get(id);
+    // A call that may have run is never said to be "not run".
+    const ResultCode honest = call->maybeRan_ && provesNotRun(code) ? ResultCode::AnswerLost : code;
+    reportFailure(world, call->handle_, honest, call->trace_);
+    removeCall(world, id, honest);
+}
+
+void removeCall(World &world, CallId id, ResultCode code)
+{
+    const Call call = *world.calls_.calls_.get(id);
+    for (const AttemptId attempt : call.attempts_) {
+        endAttempt(world, attempt, code, true);
+    }
+    world.emit(
+        EndSpan{ call.trace_, call.span_, call.parentSpan_, "call", call.service_.value() + "/" + call.class_.value(), call.startedAt_, world.now_, code });
+    world.calls_.byHandle_.erase(call.handle_);
+    world.calls_.calls_.remove(id);
+}
+
+void routeAgain(World &world, CallId id)
+{
+    world.calls_.toRoute_.push_back(id);
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/call/call_table.h
@@ -0,0 +1,25 @@
+// Tables of the outbound side.
+#pragma once
+
+#include "call/call_base.h"
+#include "core/token_bucket.h"
+
+#include <unordered_map>
+#include <vector>
+
+namespace radishford {
+
+// Calls of callers and their attempts.
+struct CallTable {
+    Pool<Call, CallId> calls_;
+    Pool<Attempt, AttemptId> attempts_;
+    std::unordered_map<CallHandle, CallId, StrongHash> byHandle_;
+    // Calls that need a new attempt in this tick.
+    std::vector<CallId> toRoute_;
+    // Allowance for further attempts, by service.
+    std::unordered_map<ServiceName, TokenBucket, StrongHash> retryBudgets_;
+    // Position of the round-robin baseline.
+    std::uint64_t roundRobin_ = 0;
+};
+
+} // namespace radishford
--- /dev/null
+++ b/src/call/call_type.h
@@ -0,0 +1,53 @@
+// Ids and states of calls, attempts and admissions.
+#pragma once
+
+#include "core/pool.h"
+#include "core/units_type.h"
+
+#include <cstdint>
+
+namespace radishford {
+
+// Names a row of the call table.
+using CallId = PoolId<struct CallTag>;
+
+// Names a row of the attempt table.
+using AttemptId = PoolId<struct AttemptTag>;
+
+// Names a row of the admission table.
+using AdmissionId = PoolId<struct AdmissionTag>;
+
+// The front end's name of a caller's request.
+using CallHandle = StrongType<struct CallHandleTag, std::uint64_t>;
+
+// The front end's name of a connection on which an offer came.
+using ExchangeHandle = StrongType<struct ExchangeHandleTag, std::uint64_t>;
+
+// Where a call stands.
+enum class CallState : std::uint8_t {
+    Routing, // Has no live attempt.
+    Offering, // Waits for an admission.
+    Running, // One attempt may have been handed over.
+    Relaying, // An answer is being passed on.
+    Ending, // Failed; waits for withdrawals to be confirmed.
+};
+
+// Where an attempt stands, as far as its outbound side knows.
+enum class AttemptState : std::uint8_t {
+    Offered, // No reply yet.
+    Queued, // Waits at the inbound side; cannot run without Go.
+    Running, // Admitted, and the body is on its way.
+    Withdrawing, // A withdrawal was sent.
+    Relaying, // Its answer is being passed on.
+};
+
+// Where a request stands at its inbound side.
+enum class AdmissionState : std::uint8_t {
+    Queued, // Waits for a slot.
+    AwaitingGo, // Holds a slot; waits for Go.
+    AwaitingBody, // Holds a slot; waits for the whole body.
+    Claiming, // Holds a slot; its idempotency key is being claimed.
+    Running, // Handed over.
+};
+
+} // namespace radishford
--- /dev/null
+++ b/src/core/hash.cpp
@@ -0,0 +1,13 @@
+// Fast hashes of byte strings, by xxHash.
+#include "core/hash.h"
+
+#include <xxhash.h>
+
+namespace radishford {
+
+std::uint64_t hashBytes(std::string_view bytes, std::uint64_t earlier)
+{
+    return XXH3_64bits_withSeed(bytes.data(), bytes.size(), earlier);
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/core/strong_type.h
@@ -0,0 +1,89 @@
+// Strong wrapper for ids and units, so that values of different meaning cannot be mixed.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <functional>
+#include <utility>
+
+namespace radishford {
+
+// A value of type Rep whose meaning is named by Tag. Values of different tags neither compare nor convert.
+template<typename Tag, typename Rep>
+class StrongType
+{
+public:
+    // The representation, for generic code such as codecs.
+    using Representation = Rep;
+
+    // Holds the default value of the representation.
+    constexpr StrongType() = default;
+
+    // Wraps a raw value.
+    constexpr explicit StrongType(Rep value)
+        : value_(std::move(value))
+    {
+    }
+
+    // The raw value.
+    [[nodiscard]] constexpr const Rep &value() const
+    {
+        return value_;
+    }
+
+    // Compares the raw values.
+    constexpr auto operator<=>(const StrongType &) const = default;
+
+private:
+    // The wrapped value.
+    Rep value_{};
+};
+
+// A strong type that also adds, subtracts and accumulates.
+template<typename Tag, typename Rep>
+class Quantity : public StrongType<Tag, Rep>
+{
+public:
+    using StrongType<Tag, Rep>::StrongType;
+
+    // The sum of two quantities of one unit.
+    constexpr Quantity operator+(Quantity other) const
+    {
+        return Quantity(this->value() + other.value());
+    }
+
+    // The difference of two quantities of one unit.
+    constexpr Quantity operator-(Quantity other) const
+    {
+        return Quantity(this->value() - other.value());
+    }
+
+    // Adds to this quantity.
+    constexpr Quantity &operator+=(Quantity other)
+    {
+        *this = *this + other;
+        return *this;
+    }
+
+    // Subtracts from this quantity.
+    constexpr Quantity &operator-=(Quantity other)
+    {
+        *this = *this - other;
+        return *this;
+    }
+
+    // Compares the raw values.
+    constexpr auto operator<=>(const Quantity &) const = default;
+};
+
+// Hashes any strong type by its raw value.
+struct StrongHash {
+    // The hash of the wrapped value.
+    template<typename Tag, typename Rep>
+    std::size_t operator()(const StrongType<Tag, Rep> &value) const
+    {
+        return std::hash<Rep>()(value.value());
+    }
+};
+
+} // namespace radishford
--- /dev/null
+++ b/src/ctl/ctl_client.cpp
@@ -0,0 +1,118 @@
+// Requests of the operators' command line.
+#include "ctl/ctl_client.h"
+
+#include "core/error.h"
+#include "wire/json_reader.h"
+#include "wire/store_json.h"
+#include "wire/ticket_json.h"
+
+namespace radishford {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::chrono::milliseconds PageTimeout(2000);
+// Longer than a daemon takes to settle a submission.
+constexpr std::chrono::milliseconds SubmitTimeout(10000);
+// Daemons asked one after another with the same submission.
+constexpr std::size_t MaxSubmitDaemons = 3;
+
+// Asks one daemon of the fleet.
+Task<> askOne(asio::io_context &context, Address address, std::string target, FleetAnswer &answer)
+{
+    const std::optional<TextResponse> response = co_await askHttp(context, address, makeRequest(http::verb::get, target), PageTimeout);
+    if (response) {
+        answer.body_ = parseJson(response->body(), target);
+        answer.ok_ = true;
+    }
+}
+
+// A text field of a row.
+std::string textOf(const json::value &row, const char *key)
+{
+    return std::string(row.at(key).as_string());
+}
+
+} // namespace
+
+CtlClient::CtlClient(Address admin)
+    : admin_(admin)
+{
+}
+
+json::value CtlClient::get(const std::string &target)
+{
+    const std::optional<TextResponse> response = ask(admin_, makeRequest(http::verb::get, target), PageTimeout);
+    if (!response) {
+        throw Error(ResultCode::DaemonUnreachable, toText(admin_));
+    }
+    return parseJson(response->body(), target);
+}
+
+std::vector<FleetAnswer> CtlClient::getFromFleet(const std::string &target)
+{
+    const json::value members = get("/members");
+    std::vector<FleetAnswer> answers;
+    std::vector<Address> addresses;
+    for (const json::value &row : members.as_array()) {
+        const std::string health = textOf(row, "health");
+        if (health == "alive" || health == "suspect") {
+            answers.push_back(FleetAnswer{ textOf(row, "instance"), textOf(row, "failure_domain"), false, {} });
+            addresses.push_back(parseAddress(textOf(row, "admin_address")));
+        }
+    }
+    asio::io_context context(1);
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+        asio::co_spawn(context, askOne(context, addresses[index], target, answers[index]), asio::detached);
+    }
+    context.run();
+    return answers;
+}
+
+json::value CtlClient::submit(const Ticket &ticket)
+{
+    const std::string body = json::serialize(toJson(ticket));
+    for (const Address &daemon : submitAddresses()) {
+        const std::optional<TextResponse> response = ask(daemon, makeRequest(http::verb::post, "/tickets", body), SubmitTimeout);
+        if (response && response->result_int() != infoOf(ResultCode::TicketUnknown).httpStatus_) {
+            return parseJson(response->body(), "daemon's answer");
+        }
+    }
+    throw Error(ResultCode::TicketUnknown, "submission " + ticket.submission_);
+}
+
+std::vector<Address> CtlClient::submitAddresses()
+{
+    std::vector<Address> addresses{ admin_ };
+    const json::value members = get("/members");
+    for (const json::value &row : members.as_array()) {
+        const Address address = parseAddress(textOf(row, "admin_address"));
+        if (textOf(row, "health") == "alive" && address != admin_ && addresses.size() < MaxSubmitDaemons) {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
+}
+
+std::vector<Ticket> CtlClient::readTickets(Address store, TicketNumber from)
+{
+    const StoreOperation operation = TicketRead{ from };
+    const std::optional<TextResponse> response = ask(store, makeRequest(http::verb::post, "/table/transact", storeRequestText(operation)), PageTimeout);
+    if (!response || response->result() != http::status::ok) {
+        throw Error(ResultCode::StoreDown, toText(store));
+    }
+    return parseStoreAnswer(operation, response->body()).tickets_;
+}
+
+std::optional<TextResponse> CtlClient::ask(const Address &address, TextRequest request, std::chrono::milliseconds timeout)
+{
+    asio::io_context context(1);
+    std::optional<TextResponse> result;
+    const auto run = [&]() -> Task<> { result = co_await askHttp(context, address, std::move(request), timeout); };
+    asio::co_spawn(context, run(), asio::detached);
+    context.run();
+    return result;
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/fleet/instance_cmd.cpp
@@ -0,0 +1,251 @@
+// Changes of the instance table.
+#include "core/hash.h"
+#include "fleet/gossip_func.h"
+#include "fleet/instance_func.h"
+#include "world/world.h"
+
+#include <algorithm>
+#include <array>
+#include <bit>
+#include <tuple>
+
+namespace radishford {
+
+namespace {
+
+// Messages that carry a new record, for each doubling of the fleet.
+constexpr int TransmitsPerDoubling = 3;
+
+// Hash of the parts of a record that all daemons must agree on; zero for instances that are gone.
+std::uint64_t recordHash(const InstanceRecord &record)
+{
+    if (record.health_ == Health::Dead || record.health_ == Health::Left) {
+        return 0;
+    }
+    const std::uint64_t name = hashBytes(record.name_.value());
+    const std::uint64_t incarnation = record.incarnation_.value();
+    const std::uint64_t mixed = incarnation * 0x9E3779B97F4A7C15ULL + record.version_;
+    return name ^ (mixed * 0xBF58476D1CE4E5B9ULL);
+}
+
+// Removes an id from a list of ids.
+void eraseId(std::vector<InstanceId> &ids, InstanceId id)
+{
+    const auto found = std::find(ids.begin(), ids.end(), id);
+    if (found != ids.end()) {
+        *found = ids.back();
+        ids.pop_back();
+    }
+}
+
+// Enters a row into the indexes by service and address, and into the table hash.
+void indexRow(FleetTable &fleet, InstanceId id, const InstanceRecord &record)
+{
+    fleet.tableHash_ ^= recordHash(record);
+    fleet.byAddress_[record.address_] = id;
+    if (!record.service_.value().empty()) {
+        fleet.byService_[record.service_].push_back(id);
+    }
+}
+
+// Undoes indexRow.
+void unindexRow(FleetTable &fleet, InstanceId id, const InstanceRecord &record)
+{
+    fleet.tableHash_ ^= recordHash(record);
+    const auto byAddress = fleet.byAddress_.find(record.address_);
+    if (byAddress != fleet.byAddress_.end() && byAddress->second == id) {
+        fleet.byAddress_.erase(byAddress);
+    }
+    const auto byService = fleet.byService_.find(record.service_);
+    if (byService == fleet.byService_.end()) {
+        return;
+    }
+    eraseId(byService->second, id);
+    if (byService->second.empty()) {
+        fleet.byService_.erase(byService);
+    }
+}
+
+// Marks a record for spreading.
+void makeFresh(FleetTable &fleet, InstanceId id)
+{
+    Instance &row = *fleet.rows_.get(id);
+    if (row.transmitsLeft_ == 0) {
+        fleet.fresh_.push_back(id);
+    }
+    row.transmitsLeft_ = TransmitsPerDoubling * static_cast<int>(std::bit_width(fleet.rows_.size() + 1));
+}
+
+// Replaces a row's record and updates everything derived from it.
+void replaceRecord(World &world, InstanceId id, const InstanceRecord &record)
+{
+    FleetTable &fleet = world.fleet_;
+    Instance &row = *fleet.rows_.get(id);
+    unindexRow(fleet, id, row.record_);
+    const bool healthChanged = row.record_.health_ != record.health_;
+    const bool restarted = row.record_.incarnation_ != record.incarnation_;
+    row.record_ = record;
+    indexRow(fleet, id, record);
+    if (restarted) {
+        row.reportedAt_ = Millis::never();
+        row.failures_ = 0;
+        row.avoidUntil_ = Millis();
+    }
+    if (healthChanged) {
+        row.healthSince_ = world.now_;
+        if (record.health_ == Health::Suspect) {
+            fleet.suspects_.push_back(id);
+        }
+    }
+    makeFresh(fleet, id);
+}
+
+// Adds a row for an instance that was not known.
+InstanceId addRow(World &world, const InstanceRecord &record, FailureDomainId domain)
+{
+    FleetTable &fleet = world.fleet_;
+    Instance row;
+    row.record_ = record;
+    row.domain_ = domain;
+    row.region_ = regionOfDomain(world, domain);
+    row.healthSince_ = world.now_;
+    const InstanceId id = fleet.rows_.create(row);
+    fleet.byName_[record.name_] = id;
+    fleet.byDomain_[domain.value()].push_back(id);
+    indexRow(fleet, id, record);
+    if (record.health_ == Health::Suspect) {
+        fleet.suspects_.push_back(id);
+    }
+    makeFresh(fleet, id);
+    return id;
+}
+
+// Logs what an operator wants to see of a change.
+void logChange(World &world, const InstanceRecord &record)
+{
+    constexpr std::array<const char *, 4> Texts{ "alive", "suspect", "dead", "left" };
+    world.emit(LogChange{ "instance " + record.name_.value() + " " + Texts[static_cast<std::size_t>(record.health_)] });
+}
+
+} // namespace
+
+bool supersedes(const InstanceRecord &first, const InstanceRecord &second)
+{
+    const auto rank = [](const InstanceRecord &record) { return std::tuple(record.incarnation_, record.version_, record.health_); };
+    return rank(first) > rank(second);
+}
+
+bool isRunning(const Instance &instance)
+{
+    return instance.record_.health_ == Health::Alive || instance.record_.health_ == Health::Suspect;
+}
+
+bool mergeRecord(World &world, const InstanceRecord &record)
+{
+    FleetTable &fleet = world.fleet_;
+    const int domain = domainIndex(world, record.failureDomain_);
+    if (domain < 0 || record.name_.value().empty()) {
+        world.counters_.add(Counter::RecordsRejected);
+        return false;
+    }
+    const auto known = fleet.byName_.find(record.name_);
+    if (known == fleet.byName_.end()) {
+        const bool gone = record.health_ == Health::Dead || record.health_ == Health::Left;
+        if (gone) {
+            return false;
+        }
+        addRow(world, record, FailureDomainId(static_cast<std::uint8_t>(domain)));
+        logChange(world, record);
+        return true;
+    }
+    const InstanceId id = known->second;
+    const Instance &row = *fleet.rows_.get(id);
+    if (!supersedes(record, row.record_)) {
+        return false;
+    }
+    if (id == fleet.self_) {
+        refute(world, record);
+        return true;
+    }
+    const Health before = row.record_.health_;
+    replaceRecord(world, id, record);
+    if (before != record.health_) {
+        logChange(world, record);
+    }
+    return true;
+}
+
+void setHealth(World &world, InstanceId id, Health health)
+{
+    const Instance *row = world.fleet_.rows_.get(id);
+    if (row == nullptr || row->record_.health_ == health) {
+        return;
+    }
+    InstanceRecord record = row->record_;
+    record.health_ = health;
+    replaceRecord(world, id, record);
+    logChange(world, record);
+}
+
+InstanceId instanceAt(const World &world, const Address &address)
+{
+    const auto found = world.fleet_.byAddress_.find(address);
+    return found == world.fleet_.byAddress_.end() ? InstanceId{} : found->second;
+}
+
+RegionId regionOf(const World &world, const Address &address)
+{
+    const Instance *row = world.fleet_.rows_.get(instanceAt(world, address));
+    return row == nullptr ? ownRegion(world) : row->region_;
+}
+
+RegionId ownRegion(const World &world)
+{
+    return world.fleet_.rows_.get(world.fleet_.self_)->region_;
+}
+
+int domainIndex(const World &world, const std::string &name)
+{
+    const auto &places = world.settings_.places_;
+    const auto found = std::find_if(places.begin(), places.end(), [&](const Place &place) { return place.failureDomain_ == name; });
+    return found == places.end() ? -1 : static_cast<int>(found - places.begin());
+}
+
+RegionId regionOfDomain(const World &world, FailureDomainId domain)
+{
+    const auto &places = world.settings_.places_;
+    const std::string &region = places[domain.value()].region_;
+    const auto first = std::find_if(places.begin(), places.end(), [&](const Place &place) { return place.region_ == region; });
+    return RegionId(static_cast<std::uint8_t>(first - places.begin()));
+}
+
+std::int64_t runningInRegion(const World &world, RegionId region)
+{
+    std::int64_t count = 0;
+    for (std::size_t domain = 0; domain < world.fleet_.byDomain_.size(); ++domain) {
+        if (regionOfDomain(world, FailureDomainId(static_cast<std::uint8_t>(domain))) != region) {
+            continue;
+        }
+        for (const InstanceId id : world.fleet_.byDomain_[domain]) {
+            count += isRunning(*world.fleet_.rows_.get(id)) ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+const std::string &regionName(const World &world, RegionId region)
+{
+    return world.settings_.places_[region.value()].region_;
+}
+
+void forgetInstance(World &world, InstanceId id)
+{
+    FleetTable &fleet = world.fleet_;
+    const Instance &row = *fleet.rows_.get(id);
+    unindexRow(fleet, id, row.record_);
+    fleet.byName_.erase(row.record_.name_);
+    eraseId(fleet.byDomain_[row.domain_.value()], id);
+    fleet.rows_.remove(id);
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/measure/budget_system.cpp
@@ -0,0 +1,189 @@
+// The measuring budget, and the charge of every outgoing message.
+#include "fleet/instance_func.h"
+#include "measure/budget_func.h"
+#include "world/world.h"
+
+#include <algorithm>
+
+namespace radishford {
+
+namespace {
+
+// IP and UDP headers.
+constexpr std::int64_t HeaderBytes = 28;
+// Most bytes of the fixed fields of any datagram.
+constexpr std::int64_t FixedBytes = 48;
+// Most bytes of the fixed fields of a record.
+constexpr std::int64_t RecordBytes = 48;
+// A bucket holds what it earns in this many seconds.
+constexpr double BurstSeconds = 1.0;
+
+// Most bytes of a record.
+std::int64_t sizeOf(const InstanceRecord &record)
+{
+    const std::size_t texts = record.name_.value().size() + record.failureDomain_.size() + record.service_.value().size();
+    return RecordBytes + static_cast<std::int64_t>(texts);
+}
+
+// Most bytes of a header.
+std::int64_t sizeOf(const GossipHeader &header)
+{
+    std::int64_t size = FixedBytes + static_cast<std::int64_t>(header.sender_.value().size());
+    for (const InstanceRecord &record : header.records_) {
+        size += sizeOf(record);
+    }
+    return size;
+}
+
+// Most bytes of each datagram kind.
+std::int64_t sizeOf(const Ping &ping)
+{
+    return sizeOf(ping.header_);
+}
+
+std::int64_t sizeOf(const Ack &ack)
+{
+    return sizeOf(ack.header_);
+}
+
+std::int64_t sizeOf(const PingRequest &request)
+{
+    return sizeOf(request.header_);
+}
+
+std::int64_t sizeOf(const Probe &probe)
+{
+    return FixedBytes + static_cast<std::int64_t>(probe.service_.value().size());
+}
+
+std::int64_t sizeOf(const ProbeReply &reply)
+{
+    return FixedBytes + static_cast<std::int64_t>(reply.sender_.value().size());
+}
+
+std::int64_t sizeOf(const SuspectNotice & /*notice*/)
+{
+    return FixedBytes;
+}
+
+std::int64_t sizeOf(const SuspectAck & /*ack*/)
+{
+    return FixedBytes;
+}
+
+// Sets both buckets of one target.
+void setRates(MeasureBuckets &buckets, double bytes, double probes, Millis now)
+{
+    buckets.bytes_.setRate(bytes, bytes * BurstSeconds, now);
+    buckets.probes_.setRate(probes, std::max(probes * BurstSeconds, probes > 0 ? 1.0 : 0.0), now);
+}
+
+// The pair's limit from this daemon's region to another; nullptr when the budget names none.
+const RegionPairBudget *findPair(const World &world, RegionId toRegion)
+{
+    const auto &pairs = world.measure_.spec_.regionPairs_;
+    const std::string &from = regionName(world, ownRegion(world));
+    const std::string &to = regionName(world, toRegion);
+    const auto found = std::find_if(pairs.begin(), pairs.end(), [&](const RegionPairBudget &pair) { return pair.from_ == from && pair.to_ == to; });
+    return found == pairs.end() ? nullptr : &*found;
+}
+
+// Divides the pairs' limits by the daemons that share them.
+void setPairRates(World &world)
+{
+    MeasureTable &measure = world.measure_;
+    const std::int64_t known = runningInRegion(world, ownRegion(world));
+    measure.sharers_ = std::max<std::int64_t>({ 1, known, measure.spec_.daemonsPerRegion_ });
+    measure.toRegion_.resize(world.settings_.places_.size());
+    const auto sharers = static_cast<double>(measure.sharers_);
+    for (std::size_t region = 0; region < measure.toRegion_.size(); ++region) {
+        const RegionPairBudget *pair = findPair(world, RegionId(static_cast<std::uint8_t>(region)));
+        const double bytes = pair == nullptr ? 0 : static_cast<double>(pair->bytesPerSecond_.value()) / sharers;
+        const double probes = pair == nullptr ? 0 : pair->probesPerSecond_ / sharers;
+        setRates(measure.toRegion_[region], bytes, probes, world.now_);
+    }
+}
+
+// Takes from both buckets of one target, or from none.
+bool takeFrom(MeasureBuckets &buckets, double bytes, double probes, Millis now)
+{
+    if (!buckets.bytes_.has(bytes, now) || !buckets.probes_.has(probes, now)) {
+        return false;
+    }
+    buckets.bytes_.take(bytes, now);
+    buckets.probes_.take(probes, now);
+    return true;
+}
+
+// Counts one message.
+void charge(World &world, Purpose purpose, RegionId toRegion, Bytes bytes)
+{
+    Traffic &traffic = world.counters_.traffic_[TrafficKey{ purpose, toRegion }];
+    ++traffic.messages_;
+    traffic.bytes_ += bytes;
+}
+
+// Charges a datagram. False when it must not leave.
+bool passDatagram(World &world, const SendDatagram &send)
+{
+    const Bytes bytes = networkSize(send.datagram_);
+    if (send.purpose_ == Purpose::Measuring) {
+        const bool isProbe = std::holds_alternative<Probe>(send.datagram_);
+        if (!takeMeasuring(world, send.toRegion_, bytes, isProbe)) {
+            world.counters_.add(Counter::ProbesDenied);
+            return false;
+        }
+    }
+    charge(world, send.purpose_, send.toRegion_, bytes);
+    return true;
+}
+
+} // namespace
+
+void applyBudget(World &world, const BudgetSpec &spec)
+{
+    MeasureTable &measure = world.measure_;
+    measure.spec_ = spec;
+    setRates(measure.own_, static_cast<double>(spec.bytesPerSecond_.value()), spec.probesPerSecond_, world.now_);
+    setPairRates(world);
+}
+
+bool takeMeasuring(World &world, RegionId toRegion, Bytes bytes, bool isProbe)
+{
+    MeasureTable &measure = world.measure_;
+    const auto units = static_cast<double>(bytes.value());
+    const double probes = isProbe ? 1 : 0;
+    if (!measure.own_.bytes_.has(units, world.now_) || !measure.own_.probes_.has(probes, world.now_)) {
+        return false;
+    }
+    if (toRegion != ownRegion(world)) {
+        if (runningInRegion(world, ownRegion(world)) > measure.sharers_) {
+            setPairRates(world);
+        }
+        if (toRegion.value() >= measure.toRegion_.size() || !takeFrom(measure.toRegion_[toRegion.value()], units, probes, world.now_)) {
+            return false;
+        }
+    }
+    return takeFrom(measure.own_, units, probes, world.now_);
+}
+
+Bytes networkSize(const Datagram &datagram)
+{
+    const std::int64_t payload = std::visit([](const auto &body) { return sizeOf(body); }, datagram);
+    return Bytes(HeaderBytes + payload);
+}
+
+void runBudget(World &world)
+{
+    Outbox kept;
+    kept.reserve(world.outbox_.size());
+    for (Effect &effect : world.outbox_) {
+        const auto *datagram = std::get_if<SendDatagram>(&effect);
+        if (datagram == nullptr || passDatagram(world, *datagram)) {
+            kept.push_back(std::move(effect));
+        }
+    }
+    world.outbox_ = std::move(kept);
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/measure/choose.cpp
@@ -0,0 +1,221 @@
+// Strategies of choice and the view of candidates they work on.
+#include "measure/choose_func.h"
+
+#include "call/call_base.h"
+#include "fleet/instance_func.h"
+#include "world/world.h"
+
+#include <algorithm>
+#include <array>
+
+namespace radishford {
+
+namespace {
+
+// Candidates that the daemon's strategy compares.
+constexpr std::size_t SampleSize = 4;
+// A report loses half its weight in this time.
+constexpr double ReportHalfLifeMs = 20.0;
+// Latency assumed where no report says otherwise.
+constexpr double UnknownLatencyMs = 6.0;
+// Load assumed where no report says otherwise: not first choice, not avoided.
+constexpr double UnknownLoad = 0.5;
+// At this load a backend server is taken to be full.
+constexpr double FullLoad = 0.95;
+// Round trips by distance.
+constexpr Millis SameDomainRoundTrip = Millis::fromMicros(100);
+constexpr Millis SameRegionRoundTrip{ 2 };
+constexpr Millis OtherRegionRoundTrip{ 16 };
+// Avoidance after a first failure, and the most after several.
+constexpr Millis AvoidFirst{ 100 };
+constexpr Millis AvoidMost{ 5000 };
+
+// Estimated load of a candidate, in parts of its limit.
+double loadOf(const Candidate &candidate)
+{
+    const auto slots = static_cast<double>(std::max(1, candidate.slots_.value()));
+    const double own = candidate.outstanding_ / slots;
+    if (candidate.report_.limit_.value() == 0) {
+        return std::max(own, UnknownLoad);
+    }
+    const auto limit = static_cast<double>(candidate.report_.limit_.value());
+    const double reported = (candidate.report_.inFlight_ + candidate.report_.queued_).value() / limit;
+    const double weight = ReportHalfLifeMs / (ReportHalfLifeMs + candidate.reportAge_.fraction());
+    const double aged = weight * reported + (1 - weight) * std::min(reported, UnknownLoad);
+    return std::max(own, aged + candidate.startedSinceReport_ / limit);
+}
+
+// Estimated time to an answer of a candidate that has a free slot, in milliseconds.
+double costOf(const Candidate &candidate, double load)
+{
+    const double latency = candidate.report_.limit_.value() == 0 ? UnknownLatencyMs : std::max(0.1, candidate.report_.latency_.fraction());
+    return latency * (1 + load) + candidate.roundTrip_.fraction();
+}
+
+// Samples a few, avoids full ones, then takes the fastest; among full ones the least loaded.
+std::size_t loadThenLatency(ChoiceContext &context, const std::vector<Candidate> &candidates)
+{
+    std::size_t best = candidates.size();
+    bool bestFull = true;
+    double bestRank = 0;
+    const std::size_t start = context.random_.below(candidates.size());
+    const std::size_t stride = 1 + (candidates.size() > 2 ? context.random_.below(candidates.size() - 1) : 0);
+    for (std::size_t step = 0; step < std::min(SampleSize, candidates.size()); ++step) {
+        const std::size_t index = (start + step * stride) % candidates.size();
+        const double load = loadOf(candidates[index]);
+        const bool full = load >= FullLoad;
+        const double rank = full ? load : costOf(candidates[index], load);
+        const bool better = best == candidates.size() || (full != bestFull ? bestFull : rank < bestRank);
+        if (better) {
+            best = index;
+            bestFull = full;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+// Any.
+std::size_t anyOne(ChoiceContext &context, const std::vector<Candidate> &candidates)
+{
+    return context.random_.below(candidates.size());
+}
+
+// Each in turn.
+std::size_t inTurn(ChoiceContext &context, const std::vector<Candidate> &candidates)
+{
+    return context.turn_++ % candidates.size();
+}
+
+// Fewest own outstanding attempts, from a random start so that equals share.
+std::size_t leastInFlight(ChoiceContext &context, const std::vector<Candidate> &candidates)
+{
+    const std::size_t start = context.random_.below(candidates.size());
+    std::size_t best = start;
+    for (std::size_t step = 1; step < candidates.size(); ++step) {
+        const std::size_t index = (start + step) % candidates.size();
+        if (candidates[index].outstanding_ < candidates[best].outstanding_) {
+            best = index;
+        }
+    }
+    return best;
+}
+
+// Fewer own outstanding attempts of two.
+std::size_t twoChoices(ChoiceContext &context, const std::vector<Candidate> &candidates)
+{
+    const std::size_t first = context.random_.below(candidates.size());
+    const std::size_t second = context.random_.below(candidates.size());
+    return candidates[second].outstanding_ < candidates[first].outstanding_ ? second : first;
+}
+
+// A strategy and its name.
+struct StrategyEntry {
+    Strategy run_;
+    std::string_view name_;
+};
+
+// By StrategyKind.
+constexpr std::array<StrategyEntry, static_cast<std::size_t>(StrategyKind::Count)> Strategies{ {
+    { loadThenLatency, "load-then-latency" },
+    { anyOne, "random" },
+    { inTurn, "round-robin" },
+    { leastInFlight, "least-in-flight" },
+    { twoChoices, "two-choices" },
+} };
+
+// Round trip to an instance by distance.
+Millis roundTripTo(const World &world, const Instance &instance)
+{
+    const Instance &self = *world.fleet_.rows_.get(world.fleet_.self_);
+    if (instance.domain_ == self.domain_) {
+        return SameDomainRoundTrip;
+    }
+    return instance.region_ == self.region_ ? SameRegionRoundTrip : OtherRegionRoundTrip;
+}
+
+// True when an instance can take an attempt of a call.
+bool isEligible(const World &world, const Call &call, const Instance &instance)
+{
+    const bool ready = isRunning(instance) && instance.record_.backend_ == BackendState::Ready;
+    const bool tried = std::find(call.tried_.begin(), call.tried_.end(), instance.record_.name_) != call.tried_.end();
+    return ready && !tried && instance.avoidUntil_ <= world.now_;
+}
+
+// What a strategy sees of an instance.
+Candidate viewOf(const World &world, InstanceId id, const Instance &instance)
+{
+    Candidate candidate;
+    candidate.instance_ = id;
+    candidate.slots_ = instance.record_.slots_;
+    candidate.outstanding_ = instance.outstanding_;
+    candidate.startedSinceReport_ = std::min(instance.startedSinceReport_, instance.outstanding_);
+    candidate.roundTrip_ = roundTripTo(world, instance);
+    if (instance.reportedAt_ != Millis::never()) {
+        candidate.report_ = instance.report_;
+        candidate.reportAge_ = world.now_ - instance.reportedAt_;
+    }
+    return candidate;
+}
+
+// True when one of the call's live attempts is at the instance.
+bool hasAttemptAt(const World &world, const Call &call, InstanceId id)
+{
+    return std::any_of(call.attempts_.begin(), call.attempts_.end(), [&](AttemptId attempt) { return world.calls_.attempts_.get(attempt)->instance_ == id; });
+}
+
+} // namespace
+
+Strategy strategyOf(StrategyKind kind)
+{
+    return Strategies[static_cast<std::size_t>(kind)].run_;
+}
+
+std::string_view nameOf(StrategyKind kind)
+{
+    return Strategies[static_cast<std::size_t>(kind)].name_;
+}
+
+InstanceId chooseInstance(World &world, const Call &call)
+{
+    const auto members = world.fleet_.byService_.find(call.service_);
+    if (members == world.fleet_.byService_.end()) {
+        return InstanceId{};
+    }
+    std::vector<Candidate> near;
+    std::vector<Candidate> far;
+    const RegionId region = ownRegion(world);
+    for (const InstanceId id : members->second) {
+        const Instance &instance = *world.fleet_.rows_.get(id);
+        if (isEligible(world, call, instance) && !hasAttemptAt(world, call, id)) {
+            std::vector<Candidate> &group = instance.region_ == region ? near : far;
+            group.push_back(viewOf(world, id, instance));
+        }
+    }
+    const std::vector<Candidate> &group = near.empty() ? far : near;
+    if (group.empty()) {
+        return InstanceId{};
+    }
+    ChoiceContext context{ world.random_, world.calls_.roundRobin_ };
+    return group[strategyOf(StrategyKind::LoadThenLatency)(context, group)].instance_;
+}
+
+void takeReport(World &world, Instance &instance, const LoadReport &report)
+{
+    if (report.limit_.value() == 0) {
+        return;
+    }
+    instance.report_ = report;
+    instance.reportedAt_ = world.now_;
+    instance.startedSinceReport_ = 0;
+    instance.failures_ = 0;
+}
+
+void avoid(World &world, Instance &instance)
+{
+    const Millis span = AvoidFirst * (std::int64_t{ 1 } << std::min(instance.failures_, 10));
+    instance.avoidUntil_ = world.now_ + std::min(span, AvoidMost);
+    ++instance.failures_;
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/measure/choose_func.h
@@ -0,0 +1,70 @@
+// Choice of a backend server for one attempt.
+#pragma once
+
+#include "core/clock_type.h"
+#include "core/random.h"
+#include "fleet/instance_type.h"
+#include "measure/load_type.h"
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace radishford {
+
+struct Call;
+struct Instance;
+struct World;
+
+// One backend server that may be chosen, as seen from this daemon.
+struct Candidate {
+    InstanceId instance_;
+    Slots slots_;
+    // Latest report; its limit is zero when there is none.
+    LoadReport report_;
+    // Age of the report.
+    Millis reportAge_;
+    // Own attempts there that have not ended.
+    std::int32_t outstanding_ = 0;
+    // Own attempts started since the report.
+    std::int32_t startedSinceReport_ = 0;
+    // Round trip on the network.
+    Millis roundTrip_;
+};
+
+// What strategies may use besides the candidates.
+struct ChoiceContext {
+    Random &random_;
+    // Counts choices, for round robin.
+    std::uint64_t &turn_;
+};
+
+// Returns the index of the chosen candidate. There is at least one.
+using Strategy = std::size_t (*)(ChoiceContext &context, const std::vector<Candidate> &candidates);
+
+// The strategies that can be measured against each other.
+enum class StrategyKind : std::uint8_t {
+    LoadThenLatency, // Samples a few, avoids full ones, then takes the fastest. Used by the daemon.
+    Random, // Any.
+    RoundRobin, // Each in turn.
+    LeastInFlight, // Fewest own outstanding attempts of all.
+    TwoChoices, // Fewer own outstanding attempts of two.
+    Count, // Number of strategies.
+};
+
+// The function of a strategy.
+Strategy strategyOf(StrategyKind kind);
+
+// The strategy's name on reports.
+std::string_view nameOf(StrategyKind kind);
+
+// Chooses an instance for a further attempt of a call: ready ones of the near region first, others when none is left. Invalid when there is none.
+InstanceId chooseInstance(World &world, const Call &call);
+
+// Takes a load report of an instance.
+void takeReport(World &world, Instance &instance, const LoadReport &report);
+
+// Keeps an instance from being chosen for a while, longer with each failure in a row.
+void avoid(World &world, Instance &instance);
+
+} // namespace radishford
--- /dev/null
+++ b/src/measure/load_type.h
@@ -0,0 +1,21 @@
+// What an inbound side reports about its backend server.
+#pragma once
+
+#include "core/clock_type.h"
+#include "core/units_type.h"
+
+namespace radishford {
+
+// Load of one backend server, counted at the only way to it.
+struct LoadReport {
+    // Requests that hold a slot.
+    Slots inFlight_;
+    // Requests that wait for a slot.
+    Slots queued_;
+    // Slots open to requests now; fewer than announced while the backend server is cold.
+    Slots limit_;
+    // Moving average of the time from hand-over to the whole answer.
+    Millis latency_;
+};
+
+} // namespace radishford
--- /dev/null
+++ b/src/measure/probe_system.cpp
@@ -0,0 +1,126 @@
+// Probes for load that traffic does not report.
+#include "call/admission_func.h"
+#include "fleet/instance_func.h"
+#include "measure/choose_func.h"
+#include "measure/probe_func.h"
+#include "world/world.h"
+
+#include <algorithm>
+
+namespace radishford {
+
+namespace {
+
+// Time between rounds of probes.
+constexpr Millis RoundInterval{ 100 };
+// A report older than this is worth a probe.
+constexpr Millis StaleAfter{ 200 };
+// One backend server is probed at most this often, whatever it answers.
+constexpr Millis MinProbeInterval{ 1000 };
+// A service without calls for this long is not probed.
+constexpr Millis ActiveFor{ 2000 };
+// Most probes of one round.
+constexpr int MaxPerRound = 4;
+
+// True when a probe of the instance would tell something new.
+bool isWorthProbing(const World &world, const Instance &instance)
+{
+    const bool ready = isRunning(instance) && instance.record_.backend_ == BackendState::Ready;
+    const bool stale = instance.reportedAt_ == Millis::never() || world.now_ - instance.reportedAt_ > StaleAfter;
+    const bool due = instance.probedAt_ == Millis() || world.now_ - instance.probedAt_ >= MinProbeInterval;
+    return ready && stale && due;
+}
+
+// True when the own region has a ready backend server of the service.
+bool hasNear(const World &world, const std::vector<InstanceId> &members)
+{
+    return std::any_of(members.begin(), members.end(), [&](InstanceId id) {
+        const Instance &instance = *world.fleet_.rows_.get(id);
+        return instance.region_ == ownRegion(world) && isRunning(instance) && instance.record_.backend_ == BackendState::Ready;
+    });
+}
+
+// Sends one probe.
+void sendProbe(World &world, Instance &instance)
+{
+    instance.probedAt_ = world.now_;
+    const Probe probe{ ++world.measure_.probeToken_, instance.record_.service_ };
+    world.counters_.add(Counter::ProbesSent);
+    world.emit(SendDatagram{ instance.record_.address_, instance.region_, probe, Purpose::Measuring });
+}
+
+// Probes a few backend servers of one service. Returns how many.
+int probeService(World &world, const ServiceName &service, int most)
+{
+    const auto found = world.fleet_.byService_.find(service);
+    if (found == world.fleet_.byService_.end() || found->second.empty()) {
+        return 0;
+    }
+    const std::vector<InstanceId> &members = found->second;
+    const bool nearOnly = hasNear(world, members);
+    const std::size_t start = world.random_.below(members.size());
+    int sent = 0;
+    for (std::size_t step = 0; step < members.size() && sent < most; ++step) {
+        Instance &instance = *world.fleet_.rows_.get(members[(start + step) % members.size()]);
+        const bool allowed = !nearOnly || instance.region_ == ownRegion(world);
+        if (allowed && isWorthProbing(world, instance)) {
+            sendProbe(world, instance);
+            ++sent;
+        }
+    }
+    return sent;
+}
+
+} // namespace
+
+void take(World &world, const Address &from, const Probe &probe)
+{
+    if (probe.service_ != world.admissions_.backend_.service_) {
+        return;
+    }
+    const ProbeReply reply{ probe.token_, world.settings_.name_, currentLoad(world) };
+    world.emit(SendDatagram{ from, regionOf(world, from), reply, Purpose::Measuring });
+}
+
+void take(World &world, const Address &from, const ProbeReply &reply)
+{
+    const InstanceId id = instanceAt(world, from);
+    Instance *instance = world.fleet_.rows_.get(id);
+    if (instance != nullptr && instance->record_.name_ == reply.sender_) {
+        takeReport(world, *instance, reply.report_);
+    }
+}
+
+void noteActive(World &world, const ServiceName &service)
+{
+    MeasureTable &measure = world.measure_;
+    measure.activeServices_[service] = world.now_;
+    if (measure.nextProbeAt_ == Millis::never()) {
+        measure.nextProbeAt_ = world.now_;
+    }
+}
+
+void runProbe(World &world)
+{
+    MeasureTable &measure = world.measure_;
+    if (world.now_ < measure.nextProbeAt_) {
+        return;
+    }
+    std::erase_if(measure.activeServices_, [&](const auto &entry) { return world.now_ - entry.second > ActiveFor; });
+    if (measure.activeServices_.empty()) {
+        measure.nextProbeAt_ = Millis::never();
+        return;
+    }
+    measure.nextProbeAt_ = world.now_ + RoundInterval;
+    int left = MaxPerRound;
+    for (const auto &[service, calledAt] : measure.activeServices_) {
+        left -= probeService(world, service, left);
+    }
+}
+
+Millis nextProbe(const World &world)
+{
+    return world.measure_.nextProbeAt_;
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/net/caller_request.cpp
@@ -0,0 +1,246 @@
+// One caller's request while it is being served.
+#include "net/caller_request.h"
+
+#include "net/failure_response.h"
+#include "net/http_fields.h"
+
+#include <algorithm>
+#include <array>
+
+namespace radishford {
+
+namespace {
+
+// A caller must send or take the next part within this time.
+constexpr std::chrono::seconds StallLimit(20);
+constexpr unsigned HttpVersion = 11;
+
+} // namespace
+
+CallerRequest::CallerRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, Parser &parser, CallHandle handle)
+    : stream_(stream)
+    , buffer_(buffer)
+    , parser_(parser)
+    , handle_(handle)
+    , done_(stream.get_executor())
+{
+}
+
+Task<ResultCode> CallerRequest::bufferBody(std::uint64_t limit)
+{
+    const auto length = parser_.content_length();
+    if (length && *length > limit) {
+        co_return ResultCode::BodyTooLarge;
+    }
+    while (!parser_.is_done()) {
+        const std::optional<std::string> part = co_await readFromStream();
+        if (!part) {
+            co_return ResultCode::BodyBroken;
+        }
+        body_ += *part;
+        if (body_.size() > limit) {
+            co_return ResultCode::BodyTooLarge;
+        }
+    }
+    buffered_ = true;
+    co_return ResultCode::Ok;
+}
+
+void CallerRequest::limitStream(std::uint64_t limit)
+{
+    bytesLeft_ = limit;
+}
+
+Task<std::optional<std::string>> CallerRequest::readChunk()
+{
+    if (!buffered_) {
+        co_return co_await readFromStream();
+    }
+    std::string part = body_.substr(cursor_, ChunkBytes);
+    cursor_ += part.size();
+    co_return part;
+}
+
+void CallerRequest::rewind()
+{
+    cursor_ = 0;
+}
+
+Task<std::optional<std::string>> CallerRequest::readFromStream()
+{
+    if (finished_) {
+        co_return std::nullopt;
+    }
+    if (parser_.is_done()) {
+        co_return std::string();
+    }
+    const Pending pending(*this);
+    co_await sendContinue();
+    std::string part(ChunkBytes, '\0');
+    auto &body = parser_.get().body();
+    body.data = part.data();
+    body.size = part.size();
+    stream_.expires_after(StallLimit);
+    error_code problem;
+    co_await http::async_read_some(stream_, buffer_, parser_, asio::redirect_error(asio::use_awaitable, problem));
+    stream_.expires_never();
+    if (problem && problem != http::error::need_buffer) {
+        co_return std::nullopt;
+    }
+    part.resize(ChunkBytes - body.size);
+    if (part.size() > bytesLeft_) {
+        co_return std::nullopt;
+    }
+    bytesLeft_ -= part.size();
+    if (part.empty() && !parser_.is_done()) {
+        co_return co_await readFromStream();
+    }
+    co_return part;
+}
+
+Task<> CallerRequest::sendContinue()
+{
+    const bool expected = beast::iequals(parser_.get()[http::field::expect], "100-continue");
+    if (!expected || continueSent_) {
+        co_return;
+    }
+    continueSent_ = true;
+    constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+    error_code ignored;
+    co_await asio::async_write(stream_, asio::buffer(Continue), asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+Task<bool> CallerRequest::writeHead(const AnswerHead &head)
+{
+    if (finished_) {
+        co_return false;
+    }
+    const Pending pending(*this);
+    http::response<http::empty_body> response(static_cast<http::status>(head.status_), HttpVersion);
+    setFields(response, head.fields_);
+    const bool hasBody = parser_.get().method() != http::verb::head && head.status_ != 204 && head.status_ != 304;
+    chunked_ = hasBody && !head.hasLength_;
+    // chunked() removes the length, so it goes first.
+    response.chunked(chunked_);
+    if (head.hasLength_ && head.status_ != 204) {
+        response.content_length(head.length_);
+    }
+    response.keep_alive(parser_.keep_alive());
+    http::response_serializer<http::empty_body> serializer(response);
+    error_code problem;
+    stream_.expires_after(StallLimit);
+    co_await http::async_write_header(stream_, serializer, asio::redirect_error(asio::use_awaitable, problem));
+    co_return !problem;
+}
+
+Task<bool> CallerRequest::writeChunk(const std::string &bytes)
+{
+    if (finished_) {
+        co_return false;
+    }
+    if (bytes.empty()) {
+        co_return true;
+    }
+    const Pending pending(*this);
+    error_code problem;
+    stream_.expires_after(StallLimit);
+    if (chunked_) {
+        co_await asio::async_write(stream_, http::make_chunk(asio::buffer(bytes)), asio::redirect_error(asio::use_awaitable, problem));
+    } else {
+        co_await asio::async_write(stream_, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, problem));
+    }
+    co_return !problem;
+}
+
+Task<bool> CallerRequest::writeEnd()
+{
+    if (finished_) {
+        co_return false;
+    }
+    if (!chunked_) {
+        co_return true;
+    }
+    const Pending pending(*this);
+    error_code problem;
+    co_await asio::async_write(stream_, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, problem));
+    co_return !problem;
+}
+
+Task<bool> CallerRequest::writeFailure(ResultCode code, const std::string &trace)
+{
+    const bool keepAlive = parser_.is_done() && parser_.keep_alive();
+    const http::response<http::string_body> response = failureResponse(code, trace, keepAlive);
+    error_code problem;
+    stream_.expires_after(StallLimit);
+    co_await http::async_write(stream_, response, asio::redirect_error(asio::use_awaitable, problem));
+    co_return !problem && keepAlive;
+}
+
+void CallerRequest::finish(std::optional<ResultCode> failure, bool cut)
+{
+    finished_ = true;
+    failure_ = failure;
+    cut_ = cut_ || cut;
+    done_.notify();
+}
+
+Task<> CallerRequest::finished()
+{
+    while (!finished_) {
+        co_await done_.wait();
+    }
+    while (pending_ > 0) {
+        stream_.cancel();
+        co_await done_.wait();
+    }
+}
+
+beast::tcp_stream &CallerRequest::stream()
+{
+    return stream_;
+}
+
+RequestHead CallerRequest::head() const
+{
+    const auto &message = parser_.get();
+    RequestHead head;
+    head.method_ = std::string(message.method_string());
+    head.target_ = std::string(message.target());
+    head.fields_ = forwardedFields(message);
+    const auto length = parser_.content_length();
+    head.hasLength_ = buffered_ || length.has_value();
+    head.length_ = buffered_ ? body_.size() : length.value_or(0);
+    return head;
+}
+
+CallHandle CallerRequest::handle() const
+{
+    return handle_;
+}
+
+const std::string &CallerRequest::bufferedBody() const
+{
+    return body_;
+}
+
+bool CallerRequest::isBuffered() const
+{
+    return buffered_;
+}
+
+const std::optional<ResultCode> &CallerRequest::failure() const
+{
+    return failure_;
+}
+
+bool CallerRequest::mustClose() const
+{
+    return cut_ || !parser_.is_done();
+}
+
+bool CallerRequest::isFinished() const
+{
+    return finished_;
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/net/datagram_port.cpp
@@ -0,0 +1,53 @@
+// Datagrams between daemons.
+#include "net/datagram_port.h"
+
+#include "core/error.h"
+#include "wire/codec.h"
+
+namespace radishford {
+
+DatagramPort::DatagramPort(Engine &engine, const Address &address)
+    : engine_(engine)
+    , socket_(engine.context(), toEndpoint<udp>(address))
+{
+    socket_.non_blocking(true);
+}
+
+void DatagramPort::start()
+{
+    asio::co_spawn(socket_.get_executor(), receiveLoop(), asio::detached);
+}
+
+void DatagramPort::send(const SendDatagram &effect)
+{
+    try {
+        const std::string bytes = encodeDatagram(effect.datagram_);
+        error_code ignored;
+        socket_.send_to(asio::buffer(bytes), toEndpoint<udp>(effect.to_), 0, ignored);
+    } catch (const Error &) {
+        ++engine_.counters().badMessages_;
+    }
+}
+
+Task<> DatagramPort::receiveLoop()
+{
+    std::array<char, MaxDatagramBytes + 1> buffer{};
+    for (;;) {
+        udp::endpoint from;
+        error_code problem;
+        const std::size_t size = co_await socket_.async_receive_from(asio::buffer(buffer), from, asio::redirect_error(asio::use_awaitable, problem));
+        if (problem == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (problem) {
+            continue;
+        }
+        try {
+            engine_.post(DatagramArrived{ fromEndpoint(from), decodeDatagram({ buffer.data(), size }) });
+        } catch (const Error &) {
+            ++engine_.counters().badMessages_;
+        }
+    }
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/net/exchange_server.cpp
@@ -0,0 +1,260 @@
+// Takes exchanges of other daemons.
+#include "net/exchange_server.h"
+
+#include "core/error.h"
+
+#include "net/trace_context.h"
+#include "ticket/ticket_func.h"
+
+namespace radishford {
+
+namespace {
+
+// Time between searches for stalled frames.
+constexpr std::chrono::seconds StallCheck(1);
+
+// The message of a frame if it belongs to the exchange; nullptr otherwise.
+template<typename Message>
+Message *ofExchange(Frame &frame, const std::shared_ptr<InboundExchange> &exchange)
+{
+    auto *message = std::get_if<Message>(&frame);
+    const bool belongs = message != nullptr && exchange && !exchange->ended_ && message->attempt_ == exchange->offer_.attempt_;
+    return belongs ? message : nullptr;
+}
+
+// True for frames that may be left over from an exchange that has ended.
+bool mayBeLate(const Frame &frame)
+{
+    return std::holds_alternative<Go>(frame) || std::holds_alternative<Withdraw>(frame) || std::holds_alternative<RequestHead>(frame)
+        || std::holds_alternative<BodyChunk>(frame) || std::holds_alternative<BodyEnd>(frame);
+}
+
+} // namespace
+
+ExchangeServer::ExchangeServer(Engine &engine, const Address &address, const ExchangeLimits &limits)
+    : engine_(engine)
+    , acceptor_(engine.context(), toEndpoint<tcp>(address))
+    , limits_(limits)
+    , backend_(engine)
+{
+}
+
+void ExchangeServer::start()
+{
+    asio::co_spawn(acceptor_.get_executor(), acceptLoop(), asio::detached);
+    asio::co_spawn(acceptor_.get_executor(), watchStalls(), asio::detached);
+}
+
+void ExchangeServer::reply(const ReplyOffer &effect)
+{
+    const ExchangePtr exchange = find(effect.exchange_);
+    if (!exchange) {
+        return;
+    }
+    exchange->connection_->send(effect.reply_);
+    if (effect.reply_.verdict_ == Verdict::Refused) {
+        close(*exchange);
+    }
+}
+
+void ExchangeServer::reply(const ReplyWithdraw &effect)
+{
+    const ExchangePtr exchange = find(effect.exchange_);
+    if (!exchange) {
+        return;
+    }
+    exchange->connection_->send(effect.reply_);
+    if (!effect.reply_.handedOver_) {
+        close(*exchange);
+    }
+}
+
+void ExchangeServer::handOver(const HandOver &effect)
+{
+    const ExchangePtr exchange = find(effect.exchange_);
+    if (exchange) {
+        backend_.start(exchange->request_, effect.backend_, effect.remaining_);
+    }
+}
+
+void ExchangeServer::fail(const FailExchange &effect)
+{
+    const ExchangePtr exchange = find(effect.exchange_);
+    if (exchange) {
+        exchange->connection_->send(effect.reply_);
+        close(*exchange);
+    }
+}
+
+void ExchangeServer::end(const EndExchange &effect)
+{
+    const ExchangePtr exchange = find(effect.exchange_);
+    if (exchange) {
+        exchange->connection_->send(AnswerEnd{ exchange->offer_.attempt_, exchange->request_->answerBytes_, effect.report_ });
+        close(*exchange);
+    }
+}
+
+void ExchangeServer::cancel(const CancelBackend &effect)
+{
+    const ExchangePtr exchange = find(effect.exchange_);
+    if (exchange) {
+        BackendClient::cancel(*exchange->request_);
+        close(*exchange);
+    }
+}
+
+Task<> ExchangeServer::acceptLoop()
+{
+    for (;;) {
+        error_code problem;
+        tcp::socket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, problem));
+        if (problem == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (problem) {
+            continue;
+        }
+        if (connections_.size() >= limits_.maxConnections_) {
+            ++engine_.counters().refusedConnections_;
+            continue;
+        }
+        const auto connection = std::make_shared<FrameConnection>(std::move(socket));
+        connections_.insert(connection);
+        asio::co_spawn(acceptor_.get_executor(), serve(connection), asio::detached);
+    }
+}
+
+Task<> ExchangeServer::watchStalls()
+{
+    asio::steady_timer timer(engine_.context());
+    for (;;) {
+        timer.expires_after(StallCheck);
+        co_await timer.async_wait(asio::use_awaitable);
+        const std::set<ConnectionPtr> connections = connections_;
+        for (const ConnectionPtr &connection : connections) {
+            if (connection->isStalled()) {
+                ++engine_.counters().badMessages_;
+                connection->close();
+            }
+        }
+    }
+}
+
+Task<> ExchangeServer::serve(ConnectionPtr connection)
+{
+    ExchangePtr current;
+    try {
+        co_await readFrames(connection, current);
+    } catch (const Error &) {
+        ++engine_.counters().badMessages_;
+    }
+    connection->close();
+    if (current && !current->ended_) {
+        current->request_->body_->end(false);
+        engine_.post(PeerGone{ current->handle_ });
+    }
+    connections_.erase(connection);
+}
+
+Task<> ExchangeServer::readFrames(ConnectionPtr connection, ExchangePtr &current)
+{
+    for (;;) {
+        std::optional<Frame> frame = co_await connection->receive();
+        if (!frame) {
+            co_return;
+        }
+        co_await take(connection, current, std::move(*frame));
+    }
+}
+
+Task<> ExchangeServer::take(ConnectionPtr connection, ExchangePtr &current, Frame frame)
+{
+    if (const auto *offer = std::get_if<Offer>(&frame)) {
+        if (current && !current->ended_) {
+            throw Error(ResultCode::MessageMalformed, "an offer within an exchange");
+        }
+        current = open(connection, *offer);
+        engine_.post(OfferArrived{ current->handle_, *offer });
+    } else if (const auto *pull = std::get_if<TicketPull>(&frame)) {
+        connection->send(objectsAfter(engine_.world(), pull->after_));
+    } else if (const auto *batch = std::get_if<TicketBatch>(&frame)) {
+        engine_.post(TicketBatchArrived{ connection->remote(), true, *batch });
+    } else if (auto *head = ofExchange<RequestHead>(frame, current)) {
+        current->request_->head_ = std::move(*head);
+        tellBody(*current);
+    } else if (auto *chunk = ofExchange<BodyChunk>(frame, current)) {
+        co_await takeChunk(current, std::move(*chunk));
+    } else if (const auto *end = ofExchange<BodyEnd>(frame, current)) {
+        current->request_->body_->end(end->bodyBytes_ == current->request_->body_->total());
+        tellBody(*current);
+    } else if (ofExchange<Go>(frame, current) != nullptr) {
+        engine_.post(GoArrived{ current->handle_ });
+    } else if (ofExchange<Withdraw>(frame, current) != nullptr) {
+        engine_.post(WithdrawArrived{ current->handle_ });
+    } else if (!mayBeLate(frame)) {
+        throw Error(ResultCode::MessageMalformed, "a frame that no inbound side takes");
+    }
+}
+
+ExchangeServer::ExchangePtr ExchangeServer::open(const ConnectionPtr &connection, const Offer &offer)
+{
+    const auto exchange = std::make_shared<InboundExchange>();
+    exchange->handle_ = ExchangeHandle(++lastHandle_);
+    exchange->offer_ = offer;
+    exchange->connection_ = connection;
+    exchange->request_ = std::make_shared<BackendRequest>();
+    exchange->request_->exchange_ = exchange->handle_;
+    exchange->request_->attempt_ = offer.attempt_;
+    exchange->request_->traceParent_ = writeTraceParent(offer.trace_, offer.parentSpan_);
+    exchange->request_->body_ = std::make_shared<BodyPipe>(acceptor_.get_executor());
+    exchange->request_->answerTo_ = connection;
+    exchanges_[exchange->handle_] = exchange;
+    return exchange;
+}
+
+Task<> ExchangeServer::takeChunk(ExchangePtr exchange, BodyChunk chunk)
+{
+    if (!exchange->offer_.wholeBodyFirst_) {
+        exchange->request_->body_->push(std::move(chunk.bytes_));
+        co_await exchange->request_->body_->hasRoom();
+        co_return;
+    }
+    const std::uint64_t size = chunk.bytes_.size();
+    if (heldBytes_ + size > limits_.maxHeldBytes_) {
+        // Without its whole body the request is never handed over.
+        exchange->request_->body_->end(false);
+        engine_.post(WithdrawArrived{ exchange->handle_ });
+        co_return;
+    }
+    heldBytes_ += size;
+    exchange->heldBytes_ += size;
+    exchange->request_->body_->push(std::move(chunk.bytes_));
+}
+
+void ExchangeServer::tellBody(InboundExchange &exchange)
+{
+    const bool headHere = !exchange.request_->head_.method_.empty();
+    const bool bodyHere = !exchange.offer_.wholeBodyFirst_ || exchange.request_->body_->isWhole();
+    if (!exchange.bodyTold_ && headHere && bodyHere) {
+        exchange.bodyTold_ = true;
+        engine_.post(BodyArrived{ exchange.handle_ });
+    }
+}
+
+void ExchangeServer::close(InboundExchange &exchange)
+{
+    exchange.ended_ = true;
+    heldBytes_ -= exchange.heldBytes_;
+    exchange.heldBytes_ = 0;
+    exchange.request_->body_->end(false);
+    exchanges_.erase(exchange.handle_);
+}
+
+ExchangeServer::ExchangePtr ExchangeServer::find(ExchangeHandle handle)
+{
+    const auto found = exchanges_.find(handle);
+    return found == exchanges_.end() ? nullptr : found->second;
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/net/http_exchange.cpp
@@ -0,0 +1,131 @@
+// One HTTP request and its answer.
+#include "net/http_exchange.h"
+
+#include "core/result_code.h"
+#include "net/failure_response.h"
+
+namespace radishford {
+
+namespace {
+
+constexpr unsigned HttpVersion = 11;
+constexpr std::uint32_t MaxHeaderBytes = 16384;
+constexpr std::uint64_t MaxBodyBytes = std::uint64_t{ 1 } << 20U;
+constexpr std::uint64_t MaxAnswerBytes = std::uint64_t{ 64 } << 20U;
+constexpr std::size_t MaxConnections = 256;
+// A request must arrive whole within this time.
+constexpr std::chrono::seconds ReadTimeout(10);
+
+} // namespace
+
+Task<std::optional<TextResponse>> askHttp(asio::io_context &context, Address address, TextRequest request, std::chrono::milliseconds timeout)
+{
+    beast::tcp_stream stream(context);
+    stream.expires_after(timeout);
+    error_code problem;
+    co_await stream.async_connect(toEndpoint<tcp>(address), asio::redirect_error(asio::use_awaitable, problem));
+    if (problem) {
+        co_return std::nullopt;
+    }
+    request.prepare_payload();
+    co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, problem));
+    if (problem) {
+        co_return std::nullopt;
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(MaxAnswerBytes);
+    co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, problem));
+    if (problem) {
+        co_return std::nullopt;
+    }
+    co_return parser.release();
+}
+
+TextRequest makeRequest(http::verb method, const std::string &target, const std::string &body)
+{
+    TextRequest request(method, target, HttpVersion);
+    request.set(http::field::host, "radishford");
+    if (!body.empty()) {
+        request.set(http::field::content_type, "application/json");
+        request.body() = body;
+    }
+    return request;
+}
+
+TextResponse makeResponse(unsigned status, const std::string &contentType, std::string body)
+{
+    TextResponse response(static_cast<http::status>(status), HttpVersion);
+    response.set(http::field::content_type, contentType);
+    response.body() = std::move(body);
+    return response;
+}
+
+TextServer::TextServer(asio::io_context &context, const Address &address, TextHandler handler)
+    : acceptor_(context, toEndpoint<tcp>(address))
+    , handler_(std::move(handler))
+{
+}
+
+void TextServer::start()
+{
+    asio::co_spawn(acceptor_.get_executor(), acceptLoop(), asio::detached);
+}
+
+std::uint64_t TextServer::badRequests() const
+{
+    return badRequests_;
+}
+
+Task<> TextServer::acceptLoop()
+{
+    for (;;) {
+        error_code problem;
+        tcp::socket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, problem));
+        if (problem == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (!problem && connections_ < MaxConnections) {
+            asio::co_spawn(acceptor_.get_executor(), serve(std::move(socket)), asio::detached);
+        }
+    }
+}
+
+Task<> TextServer::serve(tcp::socket socket)
+{
+    ++connections_;
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    error_code problem;
+    bool goOn = true;
+    while (goOn) {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(MaxHeaderBytes);
+        parser.body_limit(MaxBodyBytes);
+        stream.expires_after(ReadTimeout);
+        co_await http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, problem));
+        TextResponse response;
+        if (problem) {
+            const bool answerable = problem != http::error::end_of_stream && problem != beast::error::timeout && parser.got_some();
+            if (!answerable) {
+                break;
+            }
+            ++badRequests_;
+            response = failureResponse(ResultCode::BadRequest, "", false);
+        } else {
+            // The handler may take longer than a read.
+            stream.expires_never();
+            response = co_await handler_(parser.get());
+        }
+        response.keep_alive(!problem && parser.keep_alive());
+        response.prepare_payload();
+        goOn = response.keep_alive();
+        stream.expires_after(ReadTimeout);
+        co_await http::async_write(stream, response, asio::redirect_error(asio::use_awaitable, problem));
+        goOn = goOn && !problem;
+    }
+    stream.socket().shutdown(tcp::socket::shutdown_send, problem);
+    --connections_;
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/net/http_fields.h
@@ -0,0 +1,44 @@
+// Header fields that belong to one connection and are not passed on.
+#pragma once
+
+#include "net/net.h"
+#include "wire/frame_type.h"
+
+#include <vector>
+
+namespace radishford {
+
+// Fields of a message that are passed on to the next hop.
+template<typename Message>
+std::vector<HeaderField> forwardedFields(const Message &message)
+{
+    std::vector<HeaderField> fields;
+    for (const auto &field : message.base()) {
+        switch (field.name()) {
+        case http::field::connection:
+        case http::field::keep_alive:
+        case http::field::proxy_connection:
+        case http::field::transfer_encoding:
+        case http::field::te:
+        case http::field::trailer:
+        case http::field::upgrade:
+        case http::field::expect:
+        case http::field::content_length:
+            break;
+        default:
+            fields.push_back(HeaderField{ std::string(field.name_string()), std::string(field.value()) });
+        }
+    }
+    return fields;
+}
+
+// Sets fields on a message.
+template<typename Message>
+void setFields(Message &message, const std::vector<HeaderField> &fields)
+{
+    for (const HeaderField &field : fields) {
+        message.insert(field.name_, field.value_);
+    }
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/store/claim_system.cpp
@@ -0,0 +1,294 @@
+// Claims of idempotency keys: one row for each key, inserted before hand-over.
+#include "call/admission_func.h"
+#include "fleet/instance_func.h"
+#include "store/claim_func.h"
+#include "ticket/ticket_func.h"
+#include "world/world.h"
+
+#include <algorithm>
+
+namespace radishford {
+
+namespace {
+
+// Claims of one store request.
+constexpr std::size_t MaxBatch = 64;
+// A claim is sent again once when its answer is lost: the row then tells whether the first one took effect.
+constexpr std::int32_t MaxSends = 2;
+// After a lost answer, claims fail at once for this long.
+constexpr Millis ClosedSpan{ 1000 };
+// This daemon's part of the fleet's writes is worked out this often.
+constexpr Millis ShareInterval{ 1000 };
+// Writes that a daemon may send at once after a pause.
+constexpr double WriteBurst = 2.0;
+// Releases kept while the store is down; the oldest is dropped, and its key stays claimed.
+constexpr std::size_t MaxReleases = 1024;
+
+// Key of the row: services do not share keys.
+std::string rowKey(const Offer &offer)
+{
+    return offer.service_.value() + "/" + offer.key_;
+}
+
+// Names the one admission that may hand the request over.
+std::string ownerOf(const World &world, AdmissionId id)
+{
+    const WorldSettings &settings = world.settings_;
+    return settings.name_.value() + ":" + std::to_string(settings.incarnation_.value()) + ":" + std::to_string(id.packed());
+}
+
+// The row that an admission writes.
+ClaimInsert insertFor(const World &world, AdmissionId id, const Offer &offer)
+{
+    return ClaimInsert{ rowKey(offer), ClaimValue{ offer.callToken_, ownerOf(world, id), offer.fingerprint_ } };
+}
+
+// The admission of a claim, if it still waits for it.
+Admission *waitingAdmission(World &world, const PendingClaim &claim)
+{
+    Admission *row = world.admissions_.rows_.get(claim.admission_);
+    return row != nullptr && row->state_ == AdmissionState::Claiming ? row : nullptr;
+}
+
+// Keeps a key to be freed later.
+void keepRelease(World &world, const ClaimInsert &insert)
+{
+    auto &releases = world.claims_.releases_;
+    if (releases.size() >= MaxReleases) {
+        releases.pop_front();
+    }
+    releases.push_back(insert);
+}
+
+// Sends a request to the store.
+void send(World &world, StoreOperation operation, ClaimRequest request)
+{
+    const std::uint64_t number = ++world.claims_.lastRequest_;
+    world.counters_.add(Counter::StoreRequests);
+    world.claims_.requests_.emplace(number, std::move(request));
+    world.emit(SendStore{ number, std::move(operation) });
+}
+
+// Judges the row found in place of a claim.
+void judgeTaken(World &world, const PendingClaim &claim, const ClaimValue &current)
+{
+    const ClaimValue &own = claim.insert_.value_;
+    if (current.fingerprint_ != own.fingerprint_) {
+        failAdmission(world, claim.admission_, ResultCode::KeyMismatch);
+    } else if (current.callToken_ == own.callToken_) {
+        // An earlier attempt of this call claimed the key and was not run.
+        world.claims_.takeOvers_.emplace_back(claim, current);
+    } else {
+        failAdmission(world, claim.admission_, ResultCode::KeyTaken);
+    }
+}
+
+// Judges one claim of an answered request.
+void judgeClaim(World &world, const PendingClaim &claim, const ClaimResult &result)
+{
+    const bool own = result.done_ || result.current_ == claim.insert_.value_;
+    if (waitingAdmission(world, claim) == nullptr) {
+        if (own) {
+            keepRelease(world, claim.insert_);
+        }
+        return;
+    }
+    if (own) {
+        handOver(world, claim.admission_);
+        return;
+    }
+    waitingAdmission(world, claim)->maybeClaimed_ = false;
+    judgeTaken(world, claim, result.current_);
+}
+
+// Handles claims whose answer was lost: once more, then refused as not run.
+void retryOrFail(World &world, const ClaimRequest &request)
+{
+    for (const PendingClaim &claim : request.claims_) {
+        if (waitingAdmission(world, claim) == nullptr) {
+            keepRelease(world, claim.insert_);
+        } else if (claim.sends_ < MaxSends && !request.takeOver_) {
+            world.claims_.waiting_.push_back(claim);
+        } else {
+            failAdmission(world, claim.admission_, ResultCode::StoreDown);
+        }
+    }
+}
+
+// Fails everything that waits while the store is taken for down.
+void failWaiting(World &world)
+{
+    const std::deque<PendingClaim> waiting = std::exchange(world.claims_.waiting_, {});
+    for (const PendingClaim &claim : waiting) {
+        if (waitingAdmission(world, claim) == nullptr) {
+            continue;
+        }
+        if (claim.sends_ > 0) {
+            // Its first answer was lost just now; it is sent once more to learn the outcome.
+            world.claims_.waiting_.push_back(claim);
+        } else {
+            failAdmission(world, claim.admission_, ResultCode::StoreDown);
+        }
+    }
+}
+
+// Takes the next group of claims that are still wanted.
+std::vector<PendingClaim> takeBatch(World &world)
+{
+    std::vector<PendingClaim> batch;
+    auto &waiting = world.claims_.waiting_;
+    while (!waiting.empty() && batch.size() < MaxBatch) {
+        PendingClaim claim = waiting.front();
+        waiting.pop_front();
+        Admission *row = waitingAdmission(world, claim);
+        if (row == nullptr) {
+            if (claim.sends_ > 0) {
+                keepRelease(world, claim.insert_);
+            }
+            continue;
+        }
+        row->maybeClaimed_ = true;
+        ++claim.sends_;
+        batch.push_back(std::move(claim));
+    }
+    return batch;
+}
+
+// Sends a group of claims.
+void sendBatch(World &world)
+{
+    std::vector<PendingClaim> batch = takeBatch(world);
+    if (batch.empty()) {
+        return;
+    }
+    ClaimInsertBatch operation;
+    for (const PendingClaim &claim : batch) {
+        operation.claims_.push_back(claim.insert_);
+        world.counters_.add(Counter::ClaimsSent);
+    }
+    send(world, operation, ClaimRequest{ std::move(batch), false, false });
+}
+
+// Sends one take-over.
+void sendTakeOver(World &world)
+{
+    const auto [claim, current] = world.claims_.takeOvers_.front();
+    world.claims_.takeOvers_.pop_front();
+    Admission *row = waitingAdmission(world, claim);
+    if (row == nullptr) {
+        return;
+    }
+    row->maybeClaimed_ = true;
+    send(world, ClaimReplace{ claim.insert_.key_, current, claim.insert_.value_ }, ClaimRequest{ { claim }, true, false });
+}
+
+// Sends one release.
+void sendRelease(World &world)
+{
+    const ClaimInsert insert = world.claims_.releases_.front();
+    world.claims_.releases_.pop_front();
+    PendingClaim claim;
+    claim.insert_ = insert;
+    send(world, ClaimDelete{ insert.key_, insert.value_ }, ClaimRequest{ { claim }, false, true });
+}
+
+// Works out this daemon's part of the fleet's writes.
+void updateShare(World &world)
+{
+    ClaimTable &claims = world.claims_;
+    if (world.now_ < claims.shareAt_) {
+        return;
+    }
+    claims.shareAt_ = world.now_ + ShareInterval;
+    const double daemons = static_cast<double>(std::max<std::size_t>(1, world.fleet_.rows_.size()));
+    claims.writes_.setRate(world.settings_.storeWritesPerSecond_ / daemons, WriteBurst, world.now_);
+}
+
+// True when something waits to be written.
+bool hasWork(const ClaimTable &claims)
+{
+    const bool releasable = !claims.releases_.empty();
+    return !claims.waiting_.empty() || !claims.takeOvers_.empty() || releasable;
+}
+
+} // namespace
+
+void handle(World &world, const StoreAnswered &event)
+{
+    if (takeTicketAnswer(world, event.request_, event.answer_)) {
+        return;
+    }
+    const auto found = world.claims_.requests_.find(event.request_);
+    if (found == world.claims_.requests_.end()) {
+        world.counters_.add(Counter::LateMessages);
+        return;
+    }
+    const ClaimRequest request = std::move(found->second);
+    world.claims_.requests_.erase(found);
+    const bool whole = event.answer_.ok_ && event.answer_.claims_.size() == request.claims_.size();
+    if (!whole) {
+        world.counters_.add(Counter::StoreFailures);
+        world.claims_.closedUntil_ = world.now_ + ClosedSpan;
+        if (request.release_) {
+            keepRelease(world, request.claims_.front().insert_);
+        } else {
+            retryOrFail(world, request);
+        }
+        return;
+    }
+    world.claims_.closedUntil_ = Millis();
+    for (std::size_t index = 0; index < request.claims_.size() && !request.release_; ++index) {
+        judgeClaim(world, request.claims_[index], event.answer_.claims_[index]);
+    }
+}
+
+void queueClaim(World &world, AdmissionId id)
+{
+    PendingClaim claim;
+    claim.admission_ = id;
+    claim.insert_ = insertFor(world, id, world.admissions_.rows_.get(id)->offer_);
+    world.claims_.waiting_.push_back(std::move(claim));
+}
+
+void releaseClaim(World &world, AdmissionId id, const Offer &offer)
+{
+    keepRelease(world, insertFor(world, id, offer));
+}
+
+void runClaims(World &world)
+{
+    ClaimTable &claims = world.claims_;
+    updateShare(world);
+    const bool closed = world.now_ < claims.closedUntil_;
+    if (closed) {
+        failWaiting(world);
+    }
+    // One request at a time: claims that come meanwhile form the next group.
+    if (!claims.requests_.empty() || !hasWork(claims) || !claims.writes_.has(1, world.now_)) {
+        return;
+    }
+    if (!claims.takeOvers_.empty()) {
+        claims.writes_.take(1, world.now_);
+        sendTakeOver(world);
+    } else if (!claims.waiting_.empty()) {
+        claims.writes_.take(1, world.now_);
+        sendBatch(world);
+    } else if (!closed) {
+        claims.writes_.take(1, world.now_);
+        sendRelease(world);
+    }
+}
+
+Millis nextClaims(const World &world)
+{
+    const ClaimTable &claims = world.claims_;
+    if (!claims.requests_.empty() || !hasWork(claims)) {
+        return Millis::never();
+    }
+    TokenBucket writes = claims.writes_;
+    const Millis ready = writes.readyAt(1, world.now_);
+    const bool onlyReleases = claims.waiting_.empty() && claims.takeOvers_.empty();
+    return onlyReleases ? std::max(ready, claims.closedUntil_) : ready;
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/store/store_type.h
@@ -0,0 +1,81 @@
+// Requests to the platform's table service, and its answers.
+#pragma once
+
+#include "ticket/ticket_type.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace radishford {
+
+// Value of an idempotency key's row.
+struct ClaimValue {
+    // Call that claimed the key.
+    std::string callToken_;
+    // Attempt that may hand the request over.
+    std::string owner_;
+    // Request that the key stands for.
+    Fingerprint fingerprint_;
+
+    bool operator==(const ClaimValue &) const = default;
+};
+
+// Inserts a claim row if the key is free.
+struct ClaimInsert {
+    std::string key_;
+    ClaimValue value_;
+};
+
+// Inserts several claims in one transaction; each succeeds or fails alone.
+struct ClaimInsertBatch {
+    std::vector<ClaimInsert> claims_;
+};
+
+// Replaces a claim row if it still has the expected value.
+struct ClaimReplace {
+    std::string key_;
+    ClaimValue expected_;
+    ClaimValue value_;
+};
+
+// Deletes a claim row if it still has the expected value.
+struct ClaimDelete {
+    std::string key_;
+    ClaimValue expected_;
+};
+
+// Inserts a ticket if its number is free.
+struct TicketInsert {
+    Ticket ticket_;
+};
+
+// Reads tickets from a number on.
+struct TicketRead {
+    TicketNumber from_;
+};
+
+// Any request.
+using StoreOperation = std::variant<ClaimInsertBatch, ClaimReplace, ClaimDelete, TicketInsert, TicketRead>;
+
+// Row found in place of the one to be written.
+struct ClaimResult {
+    // True when the write took effect.
+    bool done_ = false;
+    // The row that prevented it.
+    ClaimValue current_;
+};
+
+// Answer of the store. Without ok_ nothing is known: a write may have taken effect.
+struct StoreAnswer {
+    bool ok_ = false;
+    // One for each claim written.
+    std::vector<ClaimResult> claims_;
+    // Tickets read, or the ticket that holds the number.
+    std::vector<Ticket> tickets_;
+    // True when a ticket was inserted.
+    bool inserted_ = false;
+};
+
+} // namespace radishford
--- /dev/null
+++ b/src/table/systems.h
@@ -0,0 +1,45 @@
+// The systems of a tick, in the order in which they run.
+#pragma once
+
+#include "call/admission_func.h"
+#include "call/call_func.h"
+#include "call/suspect_func.h"
+#include "fleet/gossip_func.h"
+#include "measure/budget_func.h"
+#include "measure/probe_func.h"
+#include "store/claim_func.h"
+#include "ticket/ticket_func.h"
+#include "world/shutdown_func.h"
+#include "world/system_func.h"
+
+#include <array>
+#include <string_view>
+
+namespace radishford {
+
+// One system.
+struct SystemEntry {
+    // Name for traces and docs.
+    std::string_view name_;
+    // Runs it.
+    void (*run_)(World &);
+    // When it must run next even without events; nullptr when timers or other systems tell.
+    Millis (*nextDue_)(const World &);
+};
+
+// All systems. Adding one is one line here.
+inline constexpr std::array Systems{
+    SystemEntry{ "receive", runReceive, nullptr },
+    SystemEntry{ "expire", runExpire, nullptr },
+    SystemEntry{ "membership", runMembership, nextMembership },
+    SystemEntry{ "ticket", runTickets, nextTickets },
+    SystemEntry{ "suspect", runSuspects, nextSuspects },
+    SystemEntry{ "claim", runClaims, nextClaims },
+    SystemEntry{ "admit", runAdmit, nextAdmit },
+    SystemEntry{ "route", runRoute, nullptr },
+    SystemEntry{ "probe", runProbe, nextProbe },
+    SystemEntry{ "shutdown", runShutdown, nextShutdown },
+    SystemEntry{ "budget", runBudget, nullptr },
+};
+
+} // namespace radishford
--- /dev/null
+++ b/src/ticket/ticket_cmd.cpp
@@ -0,0 +1,108 @@
+// Changes of the configuration in force.
+#include "call/suspect_func.h"
+#include "fleet/gossip_func.h"
+#include "measure/budget_func.h"
+#include "ticket/ticket_func.h"
+#include "world/world.h"
+
+#include <array>
+#include <utility>
+
+namespace radishford {
+
+namespace {
+
+// Key of an object.
+ObjectKey keyOf(const TicketObject &object)
+{
+    return ObjectKey{ object.spec_.index(), object.name_ };
+}
+
+// What follows from a changed service: nothing, since calls look it up.
+void follow(World & /*world*/, const TicketObject & /*object*/, const ServiceSpec & /*spec*/)
+{
+}
+
+// What follows from a changed budget.
+void follow(World &world, const TicketObject & /*object*/, const BudgetSpec &spec)
+{
+    applyBudget(world, spec);
+}
+
+// What follows from a drain: the own record shows it.
+void follow(World &world, const TicketObject &object, const DrainSpec & /*spec*/)
+{
+    if (world.settings_.name_.value() == object.name_) {
+        publishSelf(world, Health::Alive);
+    }
+}
+
+// What follows from the operators' word on a fingerprint.
+void follow(World &world, const TicketObject &object, const QuarantineSpec &spec)
+{
+    applyQuarantine(world, object.name_, spec.quarantined_);
+}
+
+// Looks an object up by its kind's index.
+template<typename Spec, std::size_t Index>
+const Spec *findAt(const TicketTable &tickets, const std::string &name)
+{
+    const auto found = tickets.objects_.find(ObjectKey{ Index, name });
+    return found == tickets.objects_.end() ? nullptr : &std::get<Index>(found->second.spec_);
+}
+
+} // namespace
+
+bool applyObject(World &world, const TicketObject &object)
+{
+    TicketTable &tickets = world.tickets_;
+    const auto known = tickets.objects_.find(keyOf(object));
+    if (known != tickets.objects_.end() && known->second.number_ >= object.number_) {
+        return false;
+    }
+    tickets.objects_.insert_or_assign(keyOf(object), object);
+    world.counters_.add(Counter::TicketsApplied);
+    std::visit([&](const auto &spec) { follow(world, object, spec); }, object.spec_);
+    return true;
+}
+
+TicketBatch objectsAfter(const World &world, TicketNumber after)
+{
+    TicketBatch batch;
+    batch.after_ = after;
+    batch.highest_ = world.tickets_.highest_;
+    batch.current_ = world.tickets_.current_;
+    for (const auto &[key, object] : world.tickets_.objects_) {
+        if (object.number_ > after) {
+            batch.objects_.push_back(object);
+        }
+    }
+    return batch;
+}
+
+ResultCode testTicket(const World &world, const Ticket &ticket)
+{
+    if (!world.tickets_.current_) {
+        return ResultCode::NotReady;
+    }
+    if (ticket.number_.value() <= world.tickets_.highest_.value()) {
+        return ResultCode::TicketConflict;
+    }
+    if (ticket.number_.value() != world.tickets_.highest_.value() + 1) {
+        return ResultCode::TicketNotNext;
+    }
+    return ResultCode::Ok;
+}
+
+const ServiceSpec *findService(const World &world, const ServiceName &name)
+{
+    return findAt<ServiceSpec, 0>(world.tickets_, name.value());
+}
+
+bool isDrainedByTicket(const World &world, const InstanceName &name)
+{
+    const auto *spec = findAt<DrainSpec, 2>(world.tickets_, name.value());
+    return spec != nullptr && spec->draining_;
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/ticket/ticket_system.cpp
@@ -0,0 +1,308 @@
+// Spreading of tickets, joining of fresh daemons, and submission.
+#include "fleet/instance_func.h"
+#include "store/claim_func.h"
+#include "ticket/ticket_func.h"
+#include "world/world.h"
+
+#include <algorithm>
+
+namespace radishford {
+
+namespace {
+
+// A pull from a peer that has not ended by then is given up.
+constexpr Millis PullTimeout{ 1000 };
+// A joining daemon reads the store this often until it answers.
+constexpr Millis JoinReadInterval{ 1000 };
+// Shortest time between a daemon's reads once it serves.
+constexpr Millis MinReadInterval{ 1000 };
+// Without any other daemon heard for this long, the store alone is trusted by a joining daemon.
+constexpr Millis AloneAfter{ 3000 };
+// A submission without an answer from the store is given up as unknown after this time.
+constexpr Millis SubmitTimeout{ 8000 };
+// Time between tries of a submission.
+constexpr Millis SubmitRetry{ 300 };
+// Failure domains in which current daemons must confirm a joining one when the store does not answer.
+constexpr std::size_t JoinQuorum = 2;
+
+// Sends a request about tickets to the store.
+std::uint64_t askStore(World &world, StoreOperation operation)
+{
+    const std::uint64_t request = ++world.claims_.lastRequest_;
+    world.counters_.add(Counter::StoreRequests);
+    world.emit(SendStore{ request, std::move(operation) });
+    return request;
+}
+
+// Brings all objects of a ticket into force.
+void applyTicket(World &world, const Ticket &ticket)
+{
+    for (const TicketObject &object : ticket.objects_) {
+        applyObject(world, object);
+    }
+}
+
+// Raises the highest known ticket and logs it.
+void raiseHighest(World &world, TicketNumber number)
+{
+    if (number <= world.tickets_.highest_) {
+        return;
+    }
+    world.tickets_.highest_ = number;
+    world.tickets_.heard_ = std::max(world.tickets_.heard_, number);
+    world.emit(LogChange{ "ticket " + std::to_string(number.value()) + " in force" });
+}
+
+// Applies tickets that follow the highest one without a gap; a stale answer of the store changes nothing.
+void applyInOrder(World &world, const std::vector<Ticket> &tickets)
+{
+    for (const Ticket &ticket : tickets) {
+        applyTicket(world, ticket);
+        if (ticket.number_.value() == world.tickets_.highest_.value() + 1) {
+            raiseHighest(world, ticket.number_);
+        }
+    }
+}
+
+// Sends a ticket's objects to one daemon in each failure domain, so that it is in force there without waiting for heartbeats.
+void pushWidely(World &world, TicketNumber after)
+{
+    const TicketBatch batch = objectsAfter(world, after);
+    for (const std::vector<InstanceId> &domain : world.fleet_.byDomain_) {
+        std::vector<InstanceId> running;
+        std::copy_if(domain.begin(), domain.end(), std::back_inserter(running),
+                     [&](InstanceId id) { return id != world.fleet_.self_ && isRunning(*world.fleet_.rows_.get(id)); });
+        if (running.empty()) {
+            continue;
+        }
+        const Instance &peer = *world.fleet_.rows_.get(running[world.random_.below(running.size())]);
+        world.emit(SendTicketBatch{ peer.record_.address_, peer.region_, batch });
+    }
+}
+
+// Ends a submission with a result for the operator.
+void endSubmission(World &world, const Submission &submission, ResultCode code, const std::vector<Ticket> &holder)
+{
+    world.emit(ReplyTicket{ submission.handle_, code, world.tickets_.highest_, holder });
+}
+
+// The store has taken a ticket: it is in force from here on.
+void accept(World &world, const Submission &submission)
+{
+    const TicketNumber before = world.tickets_.highest_;
+    applyTicket(world, submission.ticket_);
+    if (submission.ticket_.number_.value() == before.value() + 1) {
+        raiseHighest(world, submission.ticket_.number_);
+    }
+    pushWidely(world, TicketNumber(submission.ticket_.number_.value() - 1));
+    endSubmission(world, submission, ResultCode::Ok, {});
+}
+
+// Judges the store's answer to a submission. Returns false when it must be sent again.
+bool judgeSubmission(World &world, Submission &submission, const StoreAnswer &answer)
+{
+    if (!answer.ok_) {
+        submission.maybeWritten_ = true;
+        submission.nextTryAt_ = world.now_ + SubmitRetry;
+        submission.request_ = 0;
+        world.counters_.add(Counter::StoreFailures);
+        return false;
+    }
+    const bool own = !answer.tickets_.empty() && answer.tickets_.front().submission_ == submission.ticket_.submission_;
+    if (answer.inserted_ || own) {
+        accept(world, submission);
+        return true;
+    }
+    applyInOrder(world, answer.tickets_);
+    endSubmission(world, submission, ResultCode::TicketConflict, answer.tickets_);
+    return true;
+}
+
+// Sends submissions that are due, and gives up late ones.
+void runSubmissions(World &world)
+{
+    auto &submissions = world.tickets_.submissions_;
+    for (Submission &submission : submissions) {
+        if (submission.request_ == 0 && world.now_ >= submission.nextTryAt_ && world.now_ < submission.giveUpAt_) {
+            submission.request_ = askStore(world, TicketInsert{ submission.ticket_ });
+        }
+    }
+    std::erase_if(submissions, [&](const Submission &submission) {
+        const bool late = world.now_ >= submission.giveUpAt_;
+        if (late) {
+            endSubmission(world, submission, ResultCode::TicketUnknown, {});
+        }
+        return late;
+    });
+}
+
+// Time between this daemon's reads, so that the whole fleet keeps to its rate.
+Millis readInterval(World &world)
+{
+    if (!world.tickets_.storeRead_) {
+        return JoinReadInterval;
+    }
+    constexpr double MillisPerSecond = 1000.0;
+    const double daemons = static_cast<double>(world.fleet_.rows_.size());
+    const double mean = daemons / world.settings_.storePollsPerSecond_ * MillisPerSecond;
+    // Uniform around the mean, so that reads of the fleet spread evenly.
+    const double drawn = mean * (0.5 + world.random_.unit());
+    return std::max(MinReadInterval, Millis(static_cast<std::int64_t>(drawn)));
+}
+
+// Starts a read of the store when one is due.
+void runRead(World &world)
+{
+    TicketTable &tickets = world.tickets_;
+    if (tickets.readRequest_ != 0 || world.now_ < tickets.nextReadAt_) {
+        return;
+    }
+    tickets.readRequest_ = askStore(world, TicketRead{ TicketNumber(tickets.highest_.value() + 1) });
+}
+
+// Starts a pull from a peer that has a higher ticket.
+void runPull(World &world)
+{
+    TicketTable &tickets = world.tickets_;
+    if (tickets.pullUntil_ != Millis::never() && world.now_ < tickets.pullUntil_) {
+        return;
+    }
+    tickets.pullUntil_ = Millis::never();
+    if (tickets.heard_ <= tickets.highest_ || tickets.pullFrom_.port_ == 0) {
+        return;
+    }
+    tickets.pullUntil_ = world.now_ + PullTimeout;
+    world.emit(SendTicketPull{ tickets.pullFrom_, regionOf(world, tickets.pullFrom_), TicketPull{ tickets.highest_ } });
+}
+
+// True when a joining daemon has heard enough to know that its configuration is not an old one.
+bool mayServe(const World &world)
+{
+    const TicketTable &tickets = world.tickets_;
+    if (tickets.heard_ > tickets.highest_) {
+        return false;
+    }
+    const std::size_t quorum = std::min(JoinQuorum, world.settings_.places_.size());
+    if (tickets.currentDomains_.size() >= quorum) {
+        return true;
+    }
+    const bool alone = world.now_ - tickets.joinedAt_ >= AloneAfter;
+    return tickets.storeRead_ && (tickets.peerHeard_ || alone);
+}
+
+} // namespace
+
+void startTickets(World &world)
+{
+    world.tickets_.joinedAt_ = world.now_;
+    world.tickets_.nextReadAt_ = world.now_;
+}
+
+void noteTicket(World &world, const Address &from, const GossipHeader &header)
+{
+    TicketTable &tickets = world.tickets_;
+    const Instance *row = world.fleet_.rows_.get(instanceAt(world, from));
+    if (row == nullptr) {
+        return;
+    }
+    tickets.peerHeard_ = true;
+    if (header.current_) {
+        tickets.currentDomains_.insert(row->record_.failureDomain_);
+    }
+    if (header.ticket_ > tickets.highest_) {
+        tickets.heard_ = std::max(tickets.heard_, header.ticket_);
+        tickets.pullFrom_ = from;
+    }
+}
+
+void handle(World &world, const TicketBatchArrived &event)
+{
+    TicketTable &tickets = world.tickets_;
+    if (event.from_ == tickets.pullFrom_) {
+        tickets.pullUntil_ = Millis::never();
+    }
+    if (!event.ok_) {
+        // The next heartbeat from a daemon with a higher ticket names whom to ask.
+        tickets.pullFrom_ = Address{};
+        return;
+    }
+    for (const TicketObject &object : event.batch_.objects_) {
+        applyObject(world, object);
+    }
+    if (event.batch_.after_ <= tickets.highest_) {
+        raiseHighest(world, event.batch_.highest_);
+    } else if (event.batch_.highest_ > tickets.heard_) {
+        // Objects between were left out: the rest is pulled from the sender.
+        tickets.heard_ = event.batch_.highest_;
+        tickets.pullFrom_ = event.from_;
+    }
+}
+
+void handle(World &world, const TicketSubmitted &event)
+{
+    const ResultCode code = testTicket(world, event.ticket_);
+    if (code != ResultCode::Ok && code != ResultCode::TicketConflict) {
+        world.emit(ReplyTicket{ event.handle_, code, world.tickets_.highest_, {} });
+        return;
+    }
+    // A number that is taken is asked for all the same: the store names its holder, which may be this very submission.
+    Submission submission;
+    submission.handle_ = event.handle_;
+    submission.ticket_ = event.ticket_;
+    submission.giveUpAt_ = world.now_ + SubmitTimeout;
+    world.tickets_.submissions_.push_back(std::move(submission));
+}
+
+bool takeTicketAnswer(World &world, std::uint64_t request, const StoreAnswer &answer)
+{
+    TicketTable &tickets = world.tickets_;
+    if (request == tickets.readRequest_) {
+        tickets.readRequest_ = 0;
+        if (answer.ok_) {
+            tickets.storeRead_ = true;
+            applyInOrder(world, answer.tickets_);
+        } else {
+            world.counters_.add(Counter::StoreFailures);
+        }
+        tickets.nextReadAt_ = world.now_ + readInterval(world);
+        return true;
+    }
+    const auto found
+        = std::find_if(tickets.submissions_.begin(), tickets.submissions_.end(), [&](const Submission &submission) { return submission.request_ == request; });
+    if (found == tickets.submissions_.end()) {
+        return false;
+    }
+    if (judgeSubmission(world, *found, answer)) {
+        tickets.submissions_.erase(found);
+    }
+    return true;
+}
+
+void runTickets(World &world)
+{
+    runRead(world);
+    runPull(world);
+    runSubmissions(world);
+    if (!world.tickets_.current_ && mayServe(world)) {
+        world.tickets_.current_ = true;
+        world.emit(LogChange{ "configuration is current: serving" });
+    }
+}
+
+Millis nextTickets(const World &world)
+{
+    const TicketTable &tickets = world.tickets_;
+    Millis next = tickets.readRequest_ == 0 ? tickets.nextReadAt_ : Millis::never();
+    if (tickets.heard_ > tickets.highest_ && tickets.pullUntil_ != Millis::never()) {
+        next = std::min(next, tickets.pullUntil_);
+    }
+    if (!tickets.current_ && world.now_ < tickets.joinedAt_ + AloneAfter) {
+        next = std::min(next, tickets.joinedAt_ + AloneAfter);
+    }
+    for (const Submission &submission : tickets.submissions_) {
+        next = std::min(next, submission.request_ == 0 ? submission.nextTryAt_ : submission.giveUpAt_);
+    }
+    return next;
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/ticket/ticket_table.h
@@ -0,0 +1,62 @@
+// Objects in force and how this daemon learned them.
+#pragma once
+
+#include "core/clock_type.h"
+#include "ticket/ticket_type.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace radishford {
+
+// Names an object: its kind, as index of ObjectSpec, and its name.
+struct ObjectKey {
+    std::size_t kind_ = 0;
+    std::string name_;
+    auto operator<=>(const ObjectKey &) const = default;
+};
+
+// A ticket on its way to the store.
+struct Submission {
+    // The front end's name of the operator's request.
+    std::uint64_t handle_ = 0;
+    Ticket ticket_;
+    // When the outcome is given up as unknown.
+    Millis giveUpAt_;
+    // Store request, or zero while waiting to send again.
+    std::uint64_t request_ = 0;
+    Millis nextTryAt_;
+    // True once a write was sent whose answer was lost.
+    bool maybeWritten_ = false;
+};
+
+// Configuration in force at this daemon.
+struct TicketTable {
+    std::map<ObjectKey, TicketObject> objects_;
+    // Every ticket up to this one is known.
+    TicketNumber highest_;
+    // Highest number heard of.
+    TicketNumber heard_;
+    // True once this daemon knows that highest_ is current enough to serve by.
+    bool current_ = false;
+    // When the daemon started to join.
+    Millis joinedAt_;
+    // Failure domains in which a daemon with current configuration answered.
+    std::set<std::string> currentDomains_;
+    // True once any daemon answered.
+    bool peerHeard_ = false;
+    // True once the store answered a read whole.
+    bool storeRead_ = false;
+    // Running pull from a peer: when it is given up; never() when none.
+    Millis pullUntil_ = Millis::never();
+    // Who has a higher ticket, and where it is.
+    Address pullFrom_;
+    // Running read of the store, or zero.
+    std::uint64_t readRequest_ = 0;
+    Millis nextReadAt_;
+    std::vector<Submission> submissions_;
+};
+
+} // namespace radishford
--- /dev/null
+++ b/src/wire/codec.h
@@ -0,0 +1,35 @@
+// Encoding of messages between daemons. Decisions never see encoded bytes.
+#pragma once
+
+#include "fleet/gossip_type.h"
+#include "wire/frame_type.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace radishford {
+
+// Largest encoded frame without its length.
+constexpr std::size_t MaxFrameBytes = std::size_t{ 4 } << 20U;
+// Largest encoded datagram.
+constexpr std::size_t MaxDatagramBytes = 1400;
+// Bytes of a frame's length.
+constexpr std::size_t FrameLengthBytes = 4;
+
+// Encodes a frame with its length before it. Throws Error with MessageOversized when it exceeds MaxFrameBytes.
+std::string encodeFrame(const Frame &frame);
+
+// Decodes a frame without its length. Throws Error with MessageMalformed.
+Frame decodeFrame(std::string_view bytes);
+
+// The length that stands before a frame. Throws Error with MessageOversized when it exceeds MaxFrameBytes.
+std::size_t decodeFrameLength(std::string_view bytes);
+
+// Encodes a datagram. Throws Error with MessageOversized when it exceeds MaxDatagramBytes.
+std::string encodeDatagram(const Datagram &datagram);
+
+// Decodes a datagram. Throws Error with MessageMalformed.
+Datagram decodeDatagram(std::string_view bytes);
+
+} // namespace radishford
--- /dev/null
+++ b/src/wire/ticket_json.cpp
@@ -0,0 +1,301 @@
+// Tickets as JSON.
+#include "wire/ticket_json.h"
+
+#include "wire/json_reader.h"
+#include "world/world_settings.h"
+
+#include <boost/json/array.hpp>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+namespace radishford {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::int64_t MaxTicket = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t MaxDeadlineMs = 86400000;
+constexpr std::int64_t MaxBodyBytes = std::int64_t{ 1 } << 40;
+constexpr std::int64_t MaxQueue = 100000;
+constexpr std::int64_t MaxBytesPerSecond = std::int64_t{ 1 } << 40;
+constexpr std::int64_t MaxProbesPerSecond = 1000000;
+constexpr std::int64_t MaxDaemons = 1000000;
+constexpr std::int64_t WholePermille = 1000;
+constexpr std::int64_t DefaultQueue = 64;
+constexpr std::int64_t DefaultDeadlineMs = 1000;
+constexpr std::int64_t DefaultMaxBody = 65536;
+constexpr std::int64_t DefaultRetryPermille = 100;
+constexpr std::int64_t DefaultColdStartMs = 5000;
+constexpr std::int64_t DefaultDrainTimeoutMs = 600000;
+constexpr std::int64_t DefaultQuarantineMs = 600000;
+// Largest body that is buffered whole.
+constexpr std::int64_t MaxBufferedBody = std::int64_t{ 16 } << 20;
+
+// Reads one request class.
+RequestClass classFromJson(const json::value &value, const std::string &path)
+{
+    JsonReader reader(value, path);
+    RequestClass row;
+    row.name_ = ClassName(reader.text("name"));
+    row.methods_ = reader.texts("methods");
+    row.pathPrefix_ = reader.text("path_prefix", "/");
+    row.idempotent_ = reader.flag("idempotent", false);
+    row.keyRequired_ = reader.flag("key_required", false);
+    row.slotShare_ = Permille(static_cast<std::int32_t>(reader.number("slot_share_permille", 1, WholePermille, WholePermille)));
+    row.queue_ = Slots(static_cast<std::int32_t>(reader.number("queue", 0, MaxQueue, DefaultQueue)));
+    row.deadline_ = Millis(reader.number("deadline_ms", 1, MaxDeadlineMs, DefaultDeadlineMs));
+    row.streamed_ = reader.flag("streamed", false);
+    const std::int64_t mostBody = row.streamed_ ? MaxBodyBytes : MaxBufferedBody;
+    row.maxBody_ = Bytes(reader.number("max_body_bytes", 0, mostBody, DefaultMaxBody));
+    reader.finish();
+    return row;
+}
+
+// Rejects a second class of the same name.
+void checkClassNames(const ServiceSpec &spec, const std::string &path)
+{
+    for (std::size_t index = 0; index < spec.classes_.size(); ++index) {
+        for (std::size_t other = 0; other < index; ++other) {
+            if (spec.classes_[index].name_ == spec.classes_[other].name_) {
+                throw Error(ResultCode::DuplicateName, path + ".classes." + spec.classes_[index].name_.value());
+            }
+        }
+    }
+}
+
+// Reads a service.
+ObjectSpec serviceFromJson(JsonReader &reader, const std::string &path)
+{
+    ServiceSpec spec;
+    const std::vector<json::value> classes = reader.list("classes");
+    for (std::size_t index = 0; index < classes.size(); ++index) {
+        spec.classes_.push_back(classFromJson(classes[index], path + ".classes[" + std::to_string(index) + "]"));
+    }
+    spec.retryBudget_ = Permille(static_cast<std::int32_t>(reader.number("retry_budget_permille", 0, WholePermille, DefaultRetryPermille)));
+    spec.coldStart_ = Millis(reader.number("cold_start_ms", 0, MaxDeadlineMs, DefaultColdStartMs));
+    spec.drainTimeout_ = Millis(reader.number("drain_timeout_ms", 0, MaxDeadlineMs, DefaultDrainTimeoutMs));
+    spec.quarantine_ = Millis(reader.number("quarantine_ms", 1, MaxDeadlineMs, DefaultQuarantineMs));
+    checkClassNames(spec, path);
+    return spec;
+}
+
+// Reads one region pair of a budget.
+RegionPairBudget pairFromJson(const json::value &value, const std::string &path)
+{
+    JsonReader reader(value, path);
+    RegionPairBudget pair;
+    pair.from_ = reader.text("from");
+    pair.to_ = reader.text("to");
+    pair.bytesPerSecond_ = Bytes(reader.number("bytes_per_second", 0, MaxBytesPerSecond));
+    pair.probesPerSecond_ = static_cast<std::int32_t>(reader.number("probes_per_second", 0, MaxProbesPerSecond));
+    reader.finish();
+    return pair;
+}
+
+// Reads a measuring budget.
+ObjectSpec budgetFromJson(JsonReader &reader, const std::string &path)
+{
+    BudgetSpec spec;
+    spec.bytesPerSecond_ = Bytes(reader.number("bytes_per_second", 0, MaxBytesPerSecond));
+    spec.probesPerSecond_ = static_cast<std::int32_t>(reader.number("probes_per_second", 0, MaxProbesPerSecond));
+    spec.daemonsPerRegion_ = static_cast<std::int32_t>(reader.number("daemons_per_region", 1, MaxDaemons));
+    const std::vector<json::value> pairs = reader.list("region_pairs");
+    for (std::size_t index = 0; index < pairs.size(); ++index) {
+        spec.regionPairs_.push_back(pairFromJson(pairs[index], path + ".region_pairs[" + std::to_string(index) + "]"));
+    }
+    return spec;
+}
+
+// Reads a drain.
+ObjectSpec drainFromJson(JsonReader &reader, const std::string & /*path*/)
+{
+    return DrainSpec{ reader.flag("draining", true) };
+}
+
+// Reads an operator's word on a fingerprint.
+ObjectSpec quarantineFromJson(JsonReader &reader, const std::string & /*path*/)
+{
+    return QuarantineSpec{ reader.flag("quarantined", true) };
+}
+
+// Writes one request class.
+json::value classToJson(const RequestClass &row)
+{
+    return json::object{
+        { "name", row.name_.value() },
+        { "methods", json::array(row.methods_.begin(), row.methods_.end()) },
+        { "path_prefix", row.pathPrefix_ },
+        { "idempotent", row.idempotent_ },
+        { "key_required", row.keyRequired_ },
+        { "slot_share_permille", row.slotShare_.value() },
+        { "queue", row.queue_.value() },
+        { "deadline_ms", row.deadline_.count() },
+        { "max_body_bytes", row.maxBody_.value() },
+        { "streamed", row.streamed_ },
+    };
+}
+
+// Writes a service.
+json::object specToJson(const ServiceSpec &spec)
+{
+    json::array classes;
+    for (const RequestClass &row : spec.classes_) {
+        classes.push_back(classToJson(row));
+    }
+    return json::object{
+        { "classes", classes },
+        { "retry_budget_permille", spec.retryBudget_.value() },
+        { "cold_start_ms", spec.coldStart_.count() },
+        { "drain_timeout_ms", spec.drainTimeout_.count() },
+        { "quarantine_ms", spec.quarantine_.count() },
+    };
+}
+
+// Writes a measuring budget.
+json::object specToJson(const BudgetSpec &spec)
+{
+    json::array pairs;
+    for (const RegionPairBudget &pair : spec.regionPairs_) {
+        pairs.push_back(json::object{
+            { "from", pair.from_ }, { "to", pair.to_ }, { "bytes_per_second", pair.bytesPerSecond_.value() }, { "probes_per_second", pair.probesPerSecond_ } });
+    }
+    return json::object{
+        { "bytes_per_second", spec.bytesPerSecond_.value() },
+        { "probes_per_second", spec.probesPerSecond_ },
+        { "daemons_per_region", spec.daemonsPerRegion_ },
+        { "region_pairs", pairs },
+    };
+}
+
+// Writes a drain.
+json::object specToJson(const DrainSpec &spec)
+{
+    return json::object{ { "draining", spec.draining_ } };
+}
+
+// Writes an operator's word on a fingerprint.
+json::object specToJson(const QuarantineSpec &spec)
+{
+    return json::object{ { "quarantined", spec.quarantined_ } };
+}
+
+// How one kind of object is read.
+struct KindEntry {
+    const char *name_;
+    ObjectSpec (*read_)(JsonReader &, const std::string &);
+};
+
+// By index of ObjectSpec.
+constexpr std::array<KindEntry, std::variant_size_v<ObjectSpec>> Kinds{ {
+    { "service", serviceFromJson },
+    { "budget", budgetFromJson },
+    { "drain", drainFromJson },
+    { "quarantine", quarantineFromJson },
+} };
+
+// Reads an object of any kind.
+TicketObject objectFromJson(const json::value &value, const std::string &path, TicketNumber number)
+{
+    JsonReader reader(value, path);
+    const std::string kind = reader.text("kind");
+    const auto entry = std::find_if(Kinds.begin(), Kinds.end(), [&](const KindEntry &row) { return row.name_ == kind; });
+    if (entry == Kinds.end()) {
+        throw Error(ResultCode::OutOfRange, path + ".kind (service, budget, drain or quarantine)");
+    }
+    TicketObject object;
+    object.name_ = reader.text("name");
+    object.number_ = number;
+    object.spec_ = entry->read_(reader, path);
+    reader.number("number", 0, MaxTicket, 0);
+    reader.finish();
+    return object;
+}
+
+// Rejects a second object of the same kind and name.
+void checkObjectNames(const Ticket &ticket)
+{
+    for (std::size_t index = 0; index < ticket.objects_.size(); ++index) {
+        for (std::size_t other = 0; other < index; ++other) {
+            const TicketObject &first = ticket.objects_[index];
+            const TicketObject &second = ticket.objects_[other];
+            if (first.spec_.index() == second.spec_.index() && first.name_ == second.name_) {
+                throw Error(ResultCode::DuplicateName, "objects." + first.name_);
+            }
+        }
+    }
+}
+
+} // namespace
+
+Ticket ticketFromJson(const json::value &value)
+{
+    JsonReader reader(value, "");
+    Ticket ticket;
+    ticket.number_ = TicketNumber(static_cast<std::uint64_t>(reader.number("number", 0, MaxTicket, 0)));
+    ticket.submission_ = reader.text("submission", "");
+    ticket.author_ = reader.text("author");
+    ticket.reason_ = reader.text("reason");
+    reader.value("objects");
+    const std::vector<json::value> objects = reader.list("objects");
+    for (std::size_t index = 0; index < objects.size(); ++index) {
+        ticket.objects_.push_back(objectFromJson(objects[index], "objects[" + std::to_string(index) + "]", ticket.number_));
+    }
+    reader.finish();
+    checkObjectNames(ticket);
+    return ticket;
+}
+
+Ticket parseTicket(const std::string &text)
+{
+    return ticketFromJson(parseJson(text, "ticket"));
+}
+
+json::value toJson(const TicketObject &object)
+{
+    json::object result{ { "kind", kindName(object.spec_) }, { "name", object.name_ }, { "number", object.number_.value() } };
+    const json::object spec = std::visit([](const auto &body) { return specToJson(body); }, object.spec_);
+    result.insert(spec.begin(), spec.end());
+    return result;
+}
+
+json::value toJson(const Ticket &ticket)
+{
+    json::array objects;
+    for (const TicketObject &object : ticket.objects_) {
+        objects.push_back(toJson(object));
+    }
+    return json::object{
+        { "number", ticket.number_.value() },
+        { "submission", ticket.submission_ },
+        { "author", ticket.author_ },
+        { "reason", ticket.reason_ },
+        { "objects", objects },
+    };
+}
+
+const char *kindName(const ObjectSpec &spec)
+{
+    return Kinds[spec.index()].name_;
+}
+
+void checkPlaces(const Ticket &ticket, const std::vector<Place> &places)
+{
+    const auto isRegion
+        = [&](const std::string &name) { return std::any_of(places.begin(), places.end(), [&](const Place &place) { return place.region_ == name; }); };
+    for (const TicketObject &object : ticket.objects_) {
+        const auto *budget = std::get_if<BudgetSpec>(&object.spec_);
+        if (budget == nullptr) {
+            continue;
+        }
+        for (const RegionPairBudget &pair : budget->regionPairs_) {
+            if (!isRegion(pair.from_) || !isRegion(pair.to_)) {
+                throw Error(ResultCode::UnknownFailureDomain, "region_pairs " + pair.from_ + " to " + pair.to_);
+            }
+        }
+    }
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/world/system.cpp
@@ -0,0 +1,65 @@
+// Dispatch of events and timers by tables of functions.
+#include "world/system_func.h"
+
+#include "call/admission_func.h"
+#include "call/attempt_func.h"
+#include "call/call_func.h"
+#include "fleet/gossip_func.h"
+#include "store/claim_func.h"
+#include "ticket/ticket_func.h"
+#include "world/shutdown_func.h"
+#include "world/world.h"
+
+#include <array>
+#include <utility>
+
+namespace radishford {
+
+namespace {
+
+// Handler of one event type.
+using EventHandler = void (*)(World &, const Event &);
+
+// Handler of the event type at one index of Event.
+template<std::size_t Index>
+void handleAt(World &world, const Event &event)
+{
+    handle(world, std::get<Index>(event));
+}
+
+// The handlers of all event types, by index of Event.
+template<std::size_t... Indexes>
+constexpr std::array<EventHandler, sizeof...(Indexes)> eventHandlers(std::index_sequence<Indexes...>)
+{
+    return { handleAt<Indexes>... };
+}
+
+constexpr auto EventHandlers = eventHandlers(std::make_index_sequence<std::variant_size_v<Event>>());
+
+// Handler of one timer kind.
+using TimerHandler = void (*)(World &, std::uint64_t);
+
+// By TimerKind.
+constexpr std::array<TimerHandler, static_cast<std::size_t>(TimerKind::Count)> TimerHandlers{
+    expireCall, expireOffer, expireWithdrawal, expireAdmission, expireGoWait, expireRetryWait,
+};
+
+} // namespace
+
+void runReceive(World &world)
+{
+    const Inbox inbox = std::exchange(world.inbox_, Inbox());
+    for (const Event &event : inbox) {
+        EventHandlers[event.index()](world, event);
+    }
+}
+
+void runExpire(World &world)
+{
+    while (world.timers_.nextDue() <= world.now_) {
+        const Timer timer = world.timers_.pop();
+        TimerHandlers[static_cast<std::size_t>(timer.kind_)](world, timer.row_);
+    }
+}
+
+} // namespace radishford
--- /dev/null
+++ b/src/world/world.cpp
@@ -0,0 +1,63 @@
+// The tick: systems in one fixed order.
+#include "world/world.h"
+
+#include "fleet/gossip_func.h"
+#include "fleet/instance_func.h"
+#include "table/systems.h"
+#include "ticket/ticket_func.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace radishford {
+
+namespace {
+
+// Shortest wait between ticks that no event asks for.
+constexpr Millis MinTickInterval{ 1 };
+
+} // namespace
+
+World::World(const WorldSettings &settings, std::uint64_t seed, Millis now)
+    : settings_(settings)
+    , now_(now)
+    , random_(seed)
+{
+    startFleet(*this);
+    startTickets(*this);
+}
+
+Outbox World::tick(Millis now, Inbox inbox)
+{
+    now_ = std::max(now_, now);
+    inbox_ = std::move(inbox);
+    outbox_.clear();
+    for (const SystemEntry &system : Systems) {
+        system.run_(*this);
+    }
+    return std::move(outbox_);
+}
+
+Millis World::nextDeadline() const
+{
+    Millis next = timers_.nextDue();
+    for (const SystemEntry &system : Systems) {
+        if (system.nextDue_ != nullptr) {
+            next = std::min(next, system.nextDue_(*this));
+        }
+    }
+    // Never in the past, so that no front end can spin.
+    return std::max(next, now_ + MinTickInterval);
+}
+
+bool isLeaving(const World &world)
+{
+    return world.leavingSince_ != Millis::never();
+}
+
+SpanId drawSpan(World &world)
+{
+    return SpanId(world.random_.bits() | 1U);
+}
+
+} // namespace radishford
--- /dev/null
+++ b/test/standin/platform.cpp
@@ -0,0 +1,200 @@
+// Stand-in for the platform: a transactional table and an object store over HTTP, with faults on request.
+#include "core/error.h"
+#include "net/failure_response.h"
+#include "net/http_exchange.h"
+#include "wire/json_reader.h"
+
+#include <boost/json.hpp>
+#include <boost/program_options.hpp>
+
+#include <iostream>
+#include <map>
+
+namespace radishford {
+
+namespace {
+
+namespace json = boost::json;
+namespace options = boost::program_options;
+
+// Faults in force.
+struct Faults {
+    // Every request fails before it takes effect.
+    bool down_ = false;
+    // Requests take effect, but their answers do not come.
+    bool loseAnswers_ = false;
+    // Answers come late.
+    std::int64_t delayMs_ = 0;
+    // Reads show the table as it was when this was switched on.
+    bool stale_ = false;
+};
+
+// The table, the objects and the faults.
+class Platform
+{
+public:
+    explicit Platform(asio::io_context &context)
+        : context_(context)
+    {
+    }
+
+    // Answers one request.
+    Task<TextResponse> answer(TextRequest request)
+    {
+        const std::string target(request.target());
+        if (target == "/fault") {
+            co_return setFaults(request.body());
+        }
+        if (target == "/counts") {
+            co_return page(json::object{ { "reads", reads_ }, { "writes", writes_ } });
+        }
+        co_return co_await answerData(std::move(request), target);
+    }
+
+private:
+    // A JSON answer.
+    static TextResponse page(const json::value &value)
+    {
+        return makeResponse(200, "application/json", json::serialize(value));
+    }
+
+    // Switches faults.
+    TextResponse setFaults(const std::string &text)
+    {
+        const json::value parsed = parseJson(text, "fault");
+        JsonReader reader(parsed, "");
+        faults_.down_ = reader.flag("down", faults_.down_);
+        faults_.loseAnswers_ = reader.flag("lose_answers", faults_.loseAnswers_);
+        faults_.delayMs_ = reader.number("delay_ms", 0, 600000, faults_.delayMs_);
+        faults_.stale_ = reader.flag("stale", faults_.stale_);
+        if (faults_.stale_) {
+            staleRows_ = rows_;
+        }
+        return page(json::object{});
+    }
+
+    // Answers a request to the table or the object store under the faults in force.
+    Task<TextResponse> answerData(TextRequest request, std::string target)
+    {
+        if (faults_.down_) {
+            co_return makeResponse(503, "application/json", "{}");
+        }
+        TextResponse response;
+        try {
+            response = target == "/table/transact" ? transact(request.body()) : object(request, target);
+        } catch (const Error &) {
+            co_return makeResponse(400, "application/json", "{}");
+        }
+        if (faults_.delayMs_ > 0) {
+            asio::steady_timer timer(context_, std::chrono::milliseconds(faults_.delayMs_));
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        if (faults_.loseAnswers_) {
+            co_return makeResponse(504, "application/json", "{}");
+        }
+        co_return response;
+    }
+
+    // Runs the steps of a transaction.
+    TextResponse transact(const std::string &text)
+    {
+        const json::value parsed = parseJson(text, "transaction");
+        JsonReader reader(parsed, "");
+        json::array results;
+        bool writes = false;
+        for (const json::value &value : reader.list("steps")) {
+            JsonReader step(value, "step");
+            const std::string operation = step.text("op");
+            writes = writes || operation != "scan";
+            results.push_back(operation == "scan" ? scan(step) : write(step, operation));
+        }
+        ++(writes ? writes_ : reads_);
+        return page(json::object{ { "results", results } });
+    }
+
+    // Reads rows from a key on.
+    json::value scan(JsonReader &step) const
+    {
+        const std::string prefix = step.text("prefix");
+        const auto limit = static_cast<std::size_t>(step.number("limit", 1, 100000));
+        const auto &rows = faults_.stale_ ? staleRows_ : rows_;
+        json::array values;
+        for (auto row = rows.lower_bound(step.text("from")); row != rows.end() && values.size() < limit; ++row) {
+            if (!row->first.starts_with(prefix)) {
+                break;
+            }
+            values.push_back(json::value(row->second));
+        }
+        return json::object{ { "values", values } };
+    }
+
+    // Inserts, replaces or deletes one row if its present value is the expected one.
+    json::value write(JsonReader &step, const std::string &operation)
+    {
+        const std::string key = step.text("key");
+        const auto row = rows_.find(key);
+        const bool absent = row == rows_.end();
+        const bool allowed = operation == "insert" ? absent : !absent && row->second == step.text("expected");
+        if (!allowed) {
+            return absent ? json::object{ { "done", false } } : json::object{ { "done", false }, { "current", row->second } };
+        }
+        if (operation == "delete") {
+            rows_.erase(row);
+        } else {
+            rows_[key] = step.text("value");
+        }
+        return json::object{ { "done", true } };
+    }
+
+    // Reads or writes an object.
+    TextResponse object(const TextRequest &request, const std::string &target)
+    {
+        if (request.method() == http::verb::put) {
+            objects_[target] = request.body();
+            return page(json::object{});
+        }
+        const auto found = objects_.find(target);
+        return found == objects_.end() ? makeResponse(404, "text/plain", "") : makeResponse(200, "application/octet-stream", found->second);
+    }
+
+    asio::io_context &context_;
+    Faults faults_;
+    std::map<std::string, std::string> rows_;
+    std::map<std::string, std::string> staleRows_;
+    std::map<std::string, std::string> objects_;
+    std::uint64_t reads_ = 0;
+    std::uint64_t writes_ = 0;
+};
+
+// Serves until a signal asks for the end.
+void serve(const std::string &listen)
+{
+    asio::io_context context(1);
+    Platform platform(context);
+    TextServer server(context, parseAddress(listen), [&](TextRequest request) { return platform.answer(std::move(request)); });
+    server.start();
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait([&](const error_code & /*problem*/, int /*number*/) { context.stop(); });
+    context.run();
+}
+
+} // namespace
+
+} // namespace radishford
+
+int main(int argc, char **argv)
+{
+    namespace options = boost::program_options;
+    options::options_description description("Stand-in for the platform's table service and object store");
+    description.add_options()("listen", options::value<std::string>()->required(), "address");
+    try {
+        options::variables_map values;
+        options::store(options::parse_command_line(argc, argv, description), values);
+        options::notify(values);
+        radishford::serve(values["listen"].as<std::string>());
+    } catch (const std::exception &problem) {
+        std::cerr << "platform_standin: " << problem.what() << "\n";
+        return 1;
+    }
+    return 0;
+}
