Property test of outcomes under random faults, on a hand-written fake of what surrounds the worlds

Cause: the promises on answers, "not run" and at most once had no proof. Change: test/fake runs a few worlds on one fake clock with kills, freezes, cuts, backend server failures, store outages and lost store answers, late and doubled messages; callers resend through other daemons. Ruled out as a fault: a call that never ended came from the fake, which restarted a running daemon without breaking its callers' connections.

--- /dev/null
+++ b/test/fake/fake_fleet.cpp
@@ -0,0 +1,594 @@
+// Hand-written fake of what surrounds a few worlds.
+#include "fake/fake_fleet.h"
+
+#include "core/hash.h"
+
+namespace radishford {
+
+namespace {
+
+constexpr std::uint16_t DaemonPort = 7401;
+constexpr std::uint32_t FirstIp = 0x7F000101;
+constexpr Millis AnnounceInterval{ 500 };
+constexpr Millis LossNotice{ 2 };
+constexpr std::uint64_t PermilleScale = 1000;
+
+// Address of an instance.
+Address addressOf(std::size_t index)
+{
+    return Address{ FirstIp + static_cast<std::uint32_t>(index), DaemonPort };
+}
+
+} // namespace
+
+FakeFleet::FakeFleet(std::size_t instances, std::uint64_t seed, const std::string &service)
+    : instances_(instances)
+    , service_(service)
+    , random_(seed)
+{
+    const std::vector<Place> places{ { "r0-a", "r0" }, { "r0-b", "r0" }, { "r1-a", "r1" }, { "r1-b", "r1" }, { "r2-a", "r2" }, { "r2-b", "r2" } };
+    for (std::size_t index = 0; index < instances; ++index) {
+        WorldSettings &settings = instances_[index].settings_;
+        settings.name_ = InstanceName("i" + std::to_string(index));
+        settings.address_ = addressOf(index);
+        settings.adminAddress_ = Address{ settings.address_.ip_, 7404 };
+        settings.places_ = places;
+        settings.failureDomain_ = places[index % places.size()].failureDomain_;
+        settings.seeds_ = { addressOf(0), addressOf(1), addressOf(2) };
+        start(index);
+        announce(index);
+    }
+}
+
+void FakeFleet::start(std::size_t index)
+{
+    FakeInstance &instance = instances_[index];
+    if (instance.world_) {
+        kill(index);
+    }
+    ++instance.life_;
+    instance.paused_ = false;
+    instance.exited_ = false;
+    instance.backlog_.clear();
+    instance.settings_.incarnation_ = Incarnation(static_cast<std::uint64_t>(now_.count()) + 1);
+    instance.world_ = std::make_unique<World>(instance.settings_, random_.bits(), now_);
+    instance.wakeAt_ = Millis::never();
+    tick(index, {});
+}
+
+void FakeFleet::kill(std::size_t index)
+{
+    FakeInstance &instance = instances_[index];
+    ++instance.life_;
+    instance.world_.reset();
+    instance.backlog_.clear();
+    breakLinksOf(index);
+    for (std::size_t call = 0; call < calls_.size(); ++call) {
+        // Callers of a killed daemon see their connection break.
+        CallResult &result = results_[call];
+        if (!result.isOver() && madeAt_.at(call) == index) {
+            result.cut_ = true;
+            result.endedAt_ = now_;
+        }
+    }
+}
+
+void FakeFleet::pause(std::size_t index)
+{
+    instances_[index].paused_ = true;
+}
+
+void FakeFleet::resume(std::size_t index)
+{
+    FakeInstance &instance = instances_[index];
+    instance.paused_ = false;
+    if (instance.world_) {
+        tick(index, std::exchange(instance.backlog_, {}));
+    }
+}
+
+void FakeFleet::failBackend(std::size_t index, Millis downFor)
+{
+    FakeInstance &instance = instances_[index];
+    instance.backendUp_ = false;
+    ++instance.backendLife_;
+    instance.running_ = 0;
+    at(now_ + downFor, [this, index]() { instances_[index].backendUp_ = true; });
+    for (const auto &[key, link] : std::map(byHandle_)) {
+        if (key.first == index && link && !link->ended_) {
+            deliver(index, link->serverLife_, BackendFailed{ link->handle_, BackendFault::Broken });
+        }
+    }
+}
+
+void FakeFleet::cut(std::size_t first, std::size_t second, bool isCut)
+{
+    const auto pair = std::minmax(first, second);
+    if (!isCut) {
+        cuts_.erase(pair);
+        return;
+    }
+    cuts_.insert(pair);
+    for (const auto &[key, link] : std::map(byAttempt_)) {
+        if (link && std::pair(std::minmax(link->client_, link->server_)) == std::pair(pair)) {
+            breakLink(link);
+        }
+    }
+}
+
+void FakeFleet::runUntil(Millis time)
+{
+    while (!queue_.empty() && queue_.top().time_ <= time) {
+        const Item item = queue_.top();
+        queue_.pop();
+        now_ = std::max(now_, item.time_);
+        item.action_();
+    }
+    now_ = std::max(now_, time);
+}
+
+void FakeFleet::runFor(Millis span)
+{
+    runUntil(now_ + span);
+}
+
+std::size_t FakeFleet::call(std::size_t index, const FakeCall &call)
+{
+    calls_.push_back(call);
+    CallResult result;
+    result.startedAt_ = now_;
+    results_.push_back(result);
+    const std::size_t number = calls_.size() - 1;
+    madeAt_[number] = index;
+    CallArrived event;
+    event.handle_ = CallHandle(number + 1);
+    event.service_ = ServiceName(service_);
+    event.class_ = ClassName(call.class_);
+    event.replayable_ = true;
+    event.mayRide_ = call.mayRide_;
+    event.fingerprint_ = Fingerprint(call.fingerprint_ != 0 ? call.fingerprint_ : hashBytes(call.action_));
+    event.key_ = call.key_;
+    event.timeout_ = call.timeout_;
+    event.trace_ = TraceId(call.token_);
+    if (!instances_[index].world_ || instances_[index].exited_) {
+        results_[number].cut_ = true;
+        return number;
+    }
+    deliver(index, instances_[index].life_, event);
+    return number;
+}
+
+std::size_t FakeFleet::submit(std::size_t index, const Ticket &ticket)
+{
+    ticketResults_.emplace_back();
+    post(index, TicketSubmitted{ ticketResults_.size(), ticket });
+    return ticketResults_.size() - 1;
+}
+
+void FakeFleet::post(std::size_t index, Event event)
+{
+    deliver(index, instances_[index].life_, std::move(event));
+}
+
+void FakeFleet::at(Millis time, std::function<void()> action)
+{
+    queue_.push(Item{ time, ++order_, std::move(action) });
+}
+
+Millis FakeFleet::now() const
+{
+    return now_;
+}
+
+World &FakeFleet::world(std::size_t index)
+{
+    return *instances_[index].world_;
+}
+
+std::size_t FakeFleet::size() const
+{
+    return instances_.size();
+}
+
+int FakeFleet::executions(const std::string &action) const
+{
+    const auto found = executions_.find(action);
+    return found == executions_.end() ? 0 : found->second;
+}
+
+bool FakeFleet::allHaveTicket(std::uint64_t number) const
+{
+    return std::all_of(instances_.begin(), instances_.end(), [&](const FakeInstance &instance) {
+        return !instance.world_ || instance.exited_ || (instance.world_->tickets_.current_ && instance.world_->tickets_.highest_.value() >= number);
+    });
+}
+
+void FakeFleet::deliver(std::size_t index, int life, Event event)
+{
+    FakeInstance &instance = instances_[index];
+    if (!instance.world_ || instance.life_ != life) {
+        return;
+    }
+    if (instance.paused_) {
+        instance.backlog_.push_back(std::move(event));
+        return;
+    }
+    tick(index, { std::move(event) });
+}
+
+void FakeFleet::tick(std::size_t index, Inbox inbox)
+{
+    FakeInstance &instance = instances_[index];
+    const int life = instance.life_;
+    const Outbox outbox = instance.world_->tick(now_, std::move(inbox));
+    for (const Effect &effect : outbox) {
+        if (watch_) {
+            watch_(index, effect);
+        }
+        std::visit([&](const auto &body) { apply(index, body); }, effect);
+        if (instance.life_ != life) {
+            return;
+        }
+    }
+    arm(index);
+}
+
+void FakeFleet::arm(std::size_t index)
+{
+    FakeInstance &instance = instances_[index];
+    const Millis next = instance.world_->nextDeadline();
+    if (next >= instance.wakeAt_ || next == Millis::never()) {
+        return;
+    }
+    instance.wakeAt_ = next;
+    at(next, [this, index, next, life = instance.life_]() {
+        FakeInstance &woken = instances_[index];
+        if (!woken.world_ || woken.life_ != life || woken.wakeAt_ != next) {
+            return;
+        }
+        woken.wakeAt_ = Millis::never();
+        if (!woken.paused_) {
+            tick(index, {});
+        }
+    });
+}
+
+void FakeFleet::announce(std::size_t index)
+{
+    FakeInstance &instance = instances_[index];
+    if (instance.backendUp_ && instance.announcing_) {
+        const Address address{ FirstIp + static_cast<std::uint32_t>(index), 7410 };
+        deliver(index, instance.life_, BackendAnnounced{ ServiceName(service_), address, Slots(instance.slots_), instance.announces_ });
+    }
+    at(now_ + AnnounceInterval, [this, index]() { announce(index); });
+}
+
+Millis FakeFleet::delay(std::size_t from, std::size_t to)
+{
+    constexpr std::size_t DomainsPerRegion = 2;
+    constexpr std::size_t Domains = 6;
+    const bool sameRegion = (from % Domains) / DomainsPerRegion == (to % Domains) / DomainsPerRegion;
+    const std::int64_t base = from == to ? 20 : (sameRegion ? 1000 : 8000);
+    const bool late = random_.below(PermilleScale) < lateMessages_;
+    const std::int64_t extra = static_cast<std::int64_t>(random_.below(late ? 2000000 : 300));
+    return Millis::fromMicros(base + extra);
+}
+
+std::optional<std::size_t> FakeFleet::find(const Address &address) const
+{
+    const std::size_t index = address.ip_ - FirstIp;
+    const bool running = index < instances_.size() && instances_[index].world_ && !instances_[index].exited_;
+    return running ? std::optional(index) : std::nullopt;
+}
+
+bool FakeFleet::isCut(std::size_t first, std::size_t second) const
+{
+    return cuts_.contains(std::minmax(first, second));
+}
+
+void FakeFleet::toServer(const LinkPtr &link, Event event)
+{
+    link->toServerAt_ = std::max(link->toServerAt_, now_ + delay(link->client_, link->server_));
+    at(link->toServerAt_, [this, link, event]() {
+        if (!link->ended_) {
+            deliver(link->server_, link->serverLife_, event);
+        }
+    });
+}
+
+void FakeFleet::toClient(const LinkPtr &link, Event event)
+{
+    link->toClientAt_ = std::max(link->toClientAt_, now_ + delay(link->server_, link->client_));
+    at(link->toClientAt_, [this, link, event]() {
+        if (!isCut(link->client_, link->server_)) {
+            deliver(link->client_, link->clientLife_, event);
+        }
+    });
+}
+
+void FakeFleet::breakLink(const LinkPtr &link)
+{
+    if (!link || link->ended_) {
+        return;
+    }
+    link->ended_ = true;
+    at(now_ + LossNotice, [this, link]() {
+        deliver(link->client_, link->clientLife_, ExchangeLost{ link->attempt_, false });
+        deliver(link->server_, link->serverLife_, PeerGone{ link->handle_ });
+    });
+}
+
+void FakeFleet::breakLinksOf(std::size_t index)
+{
+    for (const auto &[key, link] : std::map(byAttempt_)) {
+        if (link && (link->client_ == index || link->server_ == index)) {
+            breakLink(link);
+        }
+    }
+}
+
+void FakeFleet::runRequest(std::size_t index, const LinkPtr &link)
+{
+    FakeInstance &instance = instances_[index];
+    const ExchangeHandle handle = link->handle_;
+    const int life = link->serverLife_;
+    if (!instance.backendUp_) {
+        at(now_ + Millis(1), [this, index, life, handle]() { deliver(index, life, BackendFailed{ handle, BackendFault::Unreachable }); });
+        return;
+    }
+    const FakeCall &call = calls_[link->call_.value() - 1];
+    ++executions_[call.action_];
+    ++executionsByToken_[call.token_];
+    if (call.kills_) {
+        ++killed_;
+        at(now_ + Millis(1), [this, index]() { failBackend(index, Millis(200)); });
+        return;
+    }
+    ++instance.running_;
+    instance.mostRunning_ = std::max(instance.mostRunning_, instance.running_);
+    at(now_ + instance.work_, [this, index, life, handle, backendLife = instance.backendLife_]() {
+        if (instances_[index].backendLife_ == backendLife) {
+            --instances_[index].running_;
+            deliver(index, life, BackendAnswered{ handle, 200 });
+        }
+    });
+}
+
+CallResult *FakeFleet::resultOf(std::size_t index, CallHandle handle)
+{
+    const std::size_t number = handle.value() - 1;
+    return madeAt_.at(number) == index ? &results_[number] : nullptr;
+}
+
+void FakeFleet::apply(std::size_t index, const StartExchange &effect)
+{
+    const auto server = find(effect.peer_);
+    if (!server || isCut(index, *server)) {
+        const int life = instances_[index].life_;
+        at(now_ + LossNotice, [this, index, life, effect]() { deliver(index, life, ExchangeLost{ effect.attempt_, true }); });
+        return;
+    }
+    const auto link = std::make_shared<FakeLink>();
+    link->client_ = index;
+    link->server_ = *server;
+    link->clientLife_ = instances_[index].life_;
+    link->serverLife_ = instances_[*server].life_;
+    link->attempt_ = effect.attempt_;
+    link->handle_ = ExchangeHandle(++lastHandle_);
+    link->call_ = effect.call_;
+    link->rides_ = effect.offer_.bodyRides_;
+    byAttempt_[{ index, effect.attempt_ }] = link;
+    byHandle_[{ *server, link->handle_ }] = link;
+    toServer(link, OfferArrived{ link->handle_, effect.offer_ });
+    if (link->rides_) {
+        link->bodySent_ = true;
+        toServer(link, BodyArrived{ link->handle_ });
+    }
+}
+
+void FakeFleet::apply(std::size_t index, const SendGo &effect)
+{
+    const LinkPtr link = byAttempt_[{ index, effect.attempt_ }];
+    toServer(link, GoArrived{ link->handle_ });
+    if (!std::exchange(link->bodySent_, true)) {
+        toServer(link, BodyArrived{ link->handle_ });
+    }
+}
+
+void FakeFleet::apply(std::size_t index, const SendWithdraw &effect)
+{
+    const LinkPtr link = byAttempt_[{ index, effect.attempt_ }];
+    if (link) {
+        toServer(link, WithdrawArrived{ link->handle_ });
+    }
+}
+
+void FakeFleet::apply(std::size_t index, const DropExchange &effect)
+{
+    const LinkPtr link = byAttempt_[{ index, effect.attempt_ }];
+    if (!link || link->ended_) {
+        return;
+    }
+    const Millis when = std::max(link->toServerAt_, now_ + delay(link->client_, link->server_));
+    at(when, [this, link]() {
+        if (!std::exchange(link->ended_, true)) {
+            deliver(link->server_, link->serverLife_, PeerGone{ link->handle_ });
+        }
+    });
+}
+
+void FakeFleet::apply(std::size_t index, const RelayAnswer &effect)
+{
+    CallResult *result = resultOf(index, effect.call_);
+    const LinkPtr link = byAttempt_[{ index, effect.attempt_ }];
+    if (result != nullptr && link) {
+        result->answer_ = calls_[link->call_.value() - 1].token_;
+        result->endedAt_ = now_;
+    }
+}
+
+void FakeFleet::apply(std::size_t index, const FailCall &effect)
+{
+    if (CallResult *result = resultOf(index, effect.call_)) {
+        result->failure_ = effect.code_;
+        result->endedAt_ = now_;
+    }
+}
+
+void FakeFleet::apply(std::size_t index, const AbortCall &effect)
+{
+    if (CallResult *result = resultOf(index, effect.call_)) {
+        result->answer_.reset();
+        result->cut_ = true;
+    }
+}
+
+void FakeFleet::apply(std::size_t index, const ReplyOffer &effect)
+{
+    const LinkPtr link = byHandle_[{ index, effect.exchange_ }];
+    if (link) {
+        toClient(link, OfferReplied{ link->attempt_, effect.reply_ });
+    }
+}
+
+void FakeFleet::apply(std::size_t index, const ReplyWithdraw &effect)
+{
+    const LinkPtr link = byHandle_[{ index, effect.exchange_ }];
+    if (link) {
+        toClient(link, WithdrawReplied{ link->attempt_, effect.reply_.handedOver_ });
+    }
+}
+
+void FakeFleet::apply(std::size_t index, const HandOver &effect)
+{
+    instances_[index].handOvers_.push_back(now_);
+    runRequest(index, byHandle_[{ index, effect.exchange_ }]);
+}
+
+void FakeFleet::apply(std::size_t index, const FailExchange &effect)
+{
+    const LinkPtr link = byHandle_[{ index, effect.exchange_ }];
+    if (link) {
+        toClient(link, AttemptFailed{ link->attempt_, static_cast<ResultCode>(effect.reply_.code_), effect.reply_.report_ });
+    }
+}
+
+void FakeFleet::apply(std::size_t index, const EndExchange &effect)
+{
+    const LinkPtr link = byHandle_[{ index, effect.exchange_ }];
+    if (link && !link->ended_) {
+        toClient(link, AnswerStarted{ link->attempt_ });
+        toClient(link, AnswerCompleted{ link->attempt_, effect.report_ });
+    }
+}
+
+void FakeFleet::apply(std::size_t index, const CancelBackend & /*effect*/)
+{
+    instances_[index].running_ = std::max(0, instances_[index].running_);
+}
+
+void FakeFleet::apply(std::size_t index, const SendDatagram &effect)
+{
+    const auto target = find(effect.to_);
+    if (!target || isCut(index, *target) || random_.below(PermilleScale) < datagramLoss_) {
+        return;
+    }
+    const int copies = random_.below(PermilleScale) < datagramLoss_ ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        const DatagramArrived event{ instances_[index].settings_.address_, effect.datagram_ };
+        at(now_ + delay(index, *target), [this, target = *target, event]() { deliver(target, instances_[target].life_, event); });
+    }
+}
+
+void FakeFleet::apply(std::size_t index, const SendTicketPull &effect)
+{
+    const auto target = find(effect.to_);
+    const int life = instances_[index].life_;
+    const Millis there = target ? delay(index, *target) : LossNotice;
+    at(now_ + there, [this, index, life, target, effect]() {
+        const bool reached = target && instances_[*target].world_ && !instances_[*target].paused_ && !isCut(index, *target);
+        const TicketBatch batch = reached ? objectsAfter(*instances_[*target].world_, effect.pull_.after_) : TicketBatch{};
+        at(now_ + Millis(1), [this, index, life, reached, batch, effect]() { deliver(index, life, TicketBatchArrived{ effect.to_, reached, batch }); });
+    });
+}
+
+void FakeFleet::apply(std::size_t index, const SendTicketBatch &effect)
+{
+    const auto target = find(effect.to_);
+    if (target && !isCut(index, *target)) {
+        const TicketBatchArrived event{ instances_[index].settings_.address_, true, effect.batch_ };
+        at(now_ + delay(index, *target), [this, target = *target, event]() { deliver(target, instances_[target].life_, event); });
+    }
+}
+
+void FakeFleet::apply(std::size_t index, const SendStore &effect)
+{
+    const int life = instances_[index].life_;
+    at(now_ + Millis(2), [this, index, life, effect]() {
+        const StoreAnswer answer = store_.run(effect.operation_);
+        const Millis wait = answer.ok_ ? Millis(2) : Millis(1000);
+        at(now_ + wait, [this, index, life, effect, answer]() { deliver(index, life, StoreAnswered{ effect.request_, answer }); });
+    });
+}
+
+void FakeFleet::apply(std::size_t /*index*/, const ReplyTicket &effect)
+{
+    ticketResults_[effect.handle_ - 1] = effect;
+}
+
+void FakeFleet::apply(std::size_t /*index*/, const LogChange & /*effect*/)
+{
+}
+
+void FakeFleet::apply(std::size_t /*index*/, const EndSpan & /*effect*/)
+{
+}
+
+void FakeFleet::apply(std::size_t index, const Exit & /*effect*/)
+{
+    instances_[index].exited_ = true;
+}
+
+Ticket standardTicket(std::uint64_t number, const std::string &submission)
+{
+    const auto makeClass = [](const char *name, bool idempotent, bool keyed, int share, int queue, std::int64_t deadline) {
+        RequestClass row;
+        row.name_ = ClassName(name);
+        row.pathPrefix_ = "/";
+        row.idempotent_ = idempotent;
+        row.keyRequired_ = keyed;
+        row.slotShare_ = Permille(share);
+        row.queue_ = Slots(queue);
+        row.deadline_ = Millis(deadline);
+        row.maxBody_ = Bytes(65536);
+        return row;
+    };
+    ServiceSpec spec;
+    spec.classes_
+        = { makeClass("read", true, false, 1000, 16, 1500), makeClass("check", true, false, 250, 8, 5000), makeClass("write", false, false, 1000, 16, 3000),
+            makeClass("keyed", false, true, 1000, 16, 3000), makeClass("upload", true, false, 500, 4, 900000) };
+    spec.classes_.back().streamed_ = true;
+    spec.retryBudget_ = Permille(200);
+    spec.coldStart_ = Millis(0);
+    spec.quarantine_ = Millis(60000);
+    BudgetSpec budget;
+    budget.bytesPerSecond_ = Bytes(20000);
+    budget.probesPerSecond_ = 10;
+    budget.daemonsPerRegion_ = 2;
+    for (const char *from : { "r0", "r1", "r2" }) {
+        for (const char *to : { "r0", "r1", "r2" }) {
+            if (std::string(from) != to) {
+                budget.regionPairs_.push_back(RegionPairBudget{ from, to, Bytes(2000), 4 });
+            }
+        }
+    }
+    Ticket ticket;
+    ticket.number_ = TicketNumber(number);
+    ticket.submission_ = submission;
+    ticket.author_ = "tester";
+    ticket.reason_ = "test";
+    ticket.objects_ = { TicketObject{ "booking", TicketNumber(number), spec }, TicketObject{ "measuring", TicketNumber(number), budget } };
+    return ticket;
+}
+
+} // namespace radishford
