--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -16,17 +16,17 @@
 namespace {
 
 // An announcement that is not repeated for this long lapses, and with it the backend server's readiness.
-constexpr Millis AnnouncementLease{ 2500 };
+constexpr Millis AnnouncementLease{2500};
 // An admitted request that is not confirmed in this time gives its slot back.
-constexpr Millis GoTimeout{ 500 };
+constexpr Millis GoTimeout{500};
 // Slots of a cold backend server at first, in parts of all.
 constexpr double ColdShare = 0.25;
 // The limit of a cold backend server is worked out anew this often while requests wait.
-constexpr Millis WarmInterval{ 100 };
+constexpr Millis WarmInterval{100};
 // Weight of a new latency in the moving average.
 constexpr double LatencyWeight = 0.1;
 // Bytes that a load report adds to a message.
-constexpr Bytes ReportBytes{ 20 };
+constexpr Bytes ReportBytes{20};
 constexpr double PermilleScale = 1000.0;
 
 // The row of an exchange, or an invalid id. Exchanges that have ended are counted.
@@ -174,7 +174,7 @@
     world.admissions_.byExchange_.erase(row.exchange_);
     world.admissions_.rows_.remove(id);
     const std::string detail = world.settings_.name_.value() + " " + row.offer_.service_.value() + "/" + row.offer_.class_.value();
-    world.emit(EndSpan{ row.offer_.trace_, row.span_, row.offer_.parentSpan_, "admission", detail, row.arrivedAt_, world.now_, code });
+    world.emit(EndSpan{row.offer_.trace_, row.span_, row.offer_.parentSpan_, "admission", detail, row.arrivedAt_, world.now_, code});
 }
 
 // Removes a request that was not handed over, and frees its idempotency key.
@@ -191,7 +191,7 @@
 void replyOffer(World &world, const Admission &row, Verdict verdict)
 {
     const LoadReport report = verdict == Verdict::Queued ? reportFor(world, row.offer_.sender_) : LoadReport{};
-    world.emit(ReplyOffer{ row.exchange_, OfferReply{ row.offer_.attempt_, verdict, 0, report } });
+    world.emit(ReplyOffer{row.exchange_, OfferReply{row.offer_.attempt_, verdict, 0, report}});
 }
 
 // Refuses an offer.
@@ -203,9 +203,9 @@
         world.counters_.add(Counter::Quarantines);
     }
     const LoadReport report = reportFor(world, event.offer_.sender_);
-    world.emit(ReplyOffer{ event.exchange_, OfferReply{ event.offer_.attempt_, Verdict::Refused, numberOf(code), report } });
+    world.emit(ReplyOffer{event.exchange_, OfferReply{event.offer_.attempt_, Verdict::Refused, numberOf(code), report}});
     const std::string detail = world.settings_.name_.value() + " " + event.offer_.service_.value() + "/" + event.offer_.class_.value();
-    world.emit(EndSpan{ event.offer_.trace_, drawSpan(world), event.offer_.parentSpan_, "admission", detail, world.now_, world.now_, code });
+    world.emit(EndSpan{event.offer_.trace_, drawSpan(world), event.offer_.parentSpan_, "admission", detail, world.now_, world.now_, code});
 }
 
 // Adds a row for an offer that is not refused.
@@ -327,8 +327,8 @@
     if (backend.state_ == state) {
         return;
     }
-    constexpr std::array<const char *, 4> Texts{ "absent", "starting", "ready", "draining" };
-    world.emit(LogChange{ "backend server " + backend.service_.value() + " " + Texts[static_cast<std::size_t>(state)] });
+    constexpr std::array<const char *, 4> Texts{"absent", "starting", "ready", "draining"};
+    world.emit(LogChange{"backend server " + backend.service_.value() + " " + Texts[static_cast<std::size_t>(state)]});
     backend.state_ = state;
     if (state == BackendState::Ready) {
         backend.readyAt_ = world.now_;
@@ -429,11 +429,11 @@
         return;
     }
     const bool handedOver = row->state_ == AdmissionState::Running;
-    const Withdrawn reply{ row->offer_.attempt_, handedOver };
+    const Withdrawn reply{row->offer_.attempt_, handedOver};
     if (!handedOver) {
         removeNotRun(world, id, ResultCode::Withdrawn);
     }
-    world.emit(ReplyWithdraw{ event.exchange_, reply });
+    world.emit(ReplyWithdraw{event.exchange_, reply});
 }
 
 void handle(World &world, const PeerGone &event)
@@ -448,7 +448,7 @@
         return;
     }
     if (row->idempotent_) {
-        world.emit(CancelBackend{ event.exchange_ });
+        world.emit(CancelBackend{event.exchange_});
         removeAdmission(world, id, ResultCode::AnswerLost);
     }
     // A non-idempotent request runs to its end and holds its slot until then.
@@ -465,7 +465,7 @@
     clearSuspect(world, row->offer_.fingerprint_);
     const InstanceName sender = row->offer_.sender_;
     removeAdmission(world, id, ResultCode::Ok);
-    world.emit(EndExchange{ event.exchange_, reportFor(world, sender) });
+    world.emit(EndExchange{event.exchange_, reportFor(world, sender)});
 }
 
 void handle(World &world, const BackendFailed &event)
@@ -548,7 +548,7 @@
 LoadReport currentLoad(const World &world)
 {
     const AdmissionTable &table = world.admissions_;
-    return LoadReport{ table.inFlight_, table.queued_, limitNow(world), table.backend_.latency_ };
+    return LoadReport{table.inFlight_, table.queued_, limitNow(world), table.backend_.latency_};
 }
 
 LoadReport reportFor(World &world, const InstanceName &receiver)
@@ -559,7 +559,7 @@
         world.counters_.add(Counter::ReportsDenied);
         return LoadReport{};
     }
-    Traffic &traffic = world.counters_.traffic_[TrafficKey{ Purpose::Measuring, region }];
+    Traffic &traffic = world.counters_.traffic_[TrafficKey{Purpose::Measuring, region}];
     ++traffic.messages_;
     traffic.bytes_ += ReportBytes;
     return currentLoad(world);
@@ -575,7 +575,7 @@
     row.state_ = AdmissionState::Running;
     row.handedOverAt_ = world.now_;
     world.counters_.add(Counter::HandedOver);
-    world.emit(HandOver{ row.exchange_, world.admissions_.backend_.address_, row.deadline_ - world.now_ });
+    world.emit(HandOver{row.exchange_, world.admissions_.backend_.address_, row.deadline_ - world.now_});
 }
 
 void failAdmission(World &world, AdmissionId id, ResultCode code)
@@ -587,7 +587,7 @@
     } else {
         removeAdmission(world, id, code);
     }
-    world.emit(FailExchange{ row.exchange_, Failed{ row.offer_.attempt_, numberOf(code), reportFor(world, row.offer_.sender_) } });
+    world.emit(FailExchange{row.exchange_, Failed{row.offer_.attempt_, numberOf(code), reportFor(world, row.offer_.sender_)}});
 }
 
 } // namespace radishford
--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -13,9 +13,9 @@
 namespace {
 
 // An offer without a reply for this long is withdrawn.
-constexpr Millis OfferTimeout{ 250 };
+constexpr Millis OfferTimeout{250};
 // A withdrawal without confirmation for this long leaves the outcome unknown.
-constexpr Millis WithdrawTimeout{ 500 };
+constexpr Millis WithdrawTimeout{500};
 // Backend server failures after which a call is not tried again.
 constexpr std::int32_t MaxBackendFailures = 2;
 
@@ -32,16 +32,16 @@
 // True for refusals that every other inbound side would repeat.
 bool isFinal(ResultCode code)
 {
-    constexpr std::array Final{ ResultCode::Quarantined, ResultCode::KeyMismatch, ResultCode::KeyTaken,     ResultCode::KeyRequired,
-                                ResultCode::StoreDown,   ResultCode::BodyBroken,  ResultCode::BodyTooLarge, ResultCode::DeadlineNotRun };
+    constexpr std::array Final{ResultCode::Quarantined, ResultCode::KeyMismatch, ResultCode::KeyTaken,     ResultCode::KeyRequired,
+                               ResultCode::StoreDown,   ResultCode::BodyBroken,  ResultCode::BodyTooLarge, ResultCode::DeadlineNotRun};
     return std::find(Final.begin(), Final.end(), code) != Final.end();
 }
 
 // True when the instance itself, rather than its load, is the reason of a failure.
 bool blamesInstance(ResultCode code)
 {
-    constexpr std::array Blaming{ ResultCode::PeerUnreachable, ResultCode::BackendUnreachable, ResultCode::BackendFailed, ResultCode::AnswerLost,
-                                  ResultCode::BackendNotReady, ResultCode::BackendDraining,    ResultCode::NotReady,      ResultCode::DaemonLeaving };
+    constexpr std::array Blaming{ResultCode::PeerUnreachable, ResultCode::BackendUnreachable, ResultCode::BackendFailed, ResultCode::AnswerLost,
+                                 ResultCode::BackendNotReady, ResultCode::BackendDraining,    ResultCode::NotReady,      ResultCode::DaemonLeaving};
     return std::find(Blaming.begin(), Blaming.end(), code) != Blaming.end();
 }
 
@@ -107,7 +107,7 @@
 {
     const Call &call = *world.calls_.calls_.get(attempt.call_);
     ++world.counters_.results_[ResultCode::AnswerLost];
-    world.emit(AbortCall{ call.handle_ });
+    world.emit(AbortCall{call.handle_});
     removeCall(world, attempt.call_, ResultCode::AnswerLost);
 }
 
@@ -137,7 +137,7 @@
         return;
     }
     if (!runsAlready) {
-        world.emit(SendGo{ id });
+        world.emit(SendGo{id});
     }
     letRun(world, id);
 }
@@ -229,7 +229,7 @@
     }
     world.timers_.add(world.now_ + OfferTimeout, TimerKind::OfferReply, id.packed());
     const Purpose purpose = attempt.isRetry_ ? Purpose::Retry : Purpose::Call;
-    world.emit(StartExchange{ id, call.handle_, instance.record_.address_, makeOffer(world, call, callId, id), purpose });
+    world.emit(StartExchange{id, call.handle_, instance.record_.address_, makeOffer(world, call, callId, id), purpose});
 }
 
 void endAttempt(World &world, AttemptId id, ResultCode code, bool drop)
@@ -241,9 +241,9 @@
     }
     Call &call = *world.calls_.calls_.get(attempt.call_);
     std::erase(call.attempts_, id);
-    world.emit(EndSpan{ call.trace_, attempt.span_, call.span_, "attempt", attempt.instanceName_.value(), attempt.startedAt_, world.now_, code });
+    world.emit(EndSpan{call.trace_, attempt.span_, call.span_, "attempt", attempt.instanceName_.value(), attempt.startedAt_, world.now_, code});
     if (drop) {
-        world.emit(DropExchange{ id });
+        world.emit(DropExchange{id});
     }
     world.calls_.attempts_.remove(id);
 }
@@ -253,7 +253,7 @@
     Attempt &attempt = *world.calls_.attempts_.get(id);
     const bool awaited = mayRun(attempt);
     if (attempt.state_ != AttemptState::Withdrawing) {
-        world.emit(SendWithdraw{ id });
+        world.emit(SendWithdraw{id});
     }
     if (awaited) {
         attempt.state_ = AttemptState::Withdrawing;
@@ -268,6 +268,7 @@
     if (attempt == nullptr) {
         return;
     }
+    noteHeard(world, attempt->instance_);
     noteReport(world, *attempt, event.reply_.report_);
     switch (event.reply_.verdict_) {
     case Verdict::Admitted:
@@ -321,7 +322,7 @@
     attempt->state_ = AttemptState::Relaying;
     Call &call = *world.calls_.calls_.get(attempt->call_);
     call.state_ = CallState::Relaying;
-    world.emit(RelayAnswer{ call.handle_, event.attempt_ });
+    world.emit(RelayAnswer{call.handle_, event.attempt_});
 }
 
 void handle(World &world, const AnswerCompleted &event)
@@ -330,6 +331,7 @@
     if (attempt == nullptr) {
         return;
     }
+    noteHeard(world, attempt->instance_);
     noteReport(world, *attempt, event.report_);
     ++world.counters_.results_[ResultCode::Ok];
     const CallId call = attempt->call_;
--- a/src/call/call_cmd.cpp
+++ b/src/call/call_cmd.cpp
@@ -19,7 +19,7 @@
 // Offers of one call that may be open at a time.
 constexpr std::size_t MaxLiveAttempts = 2;
 // A call that found no backend server looks again after this time, while its deadline allows.
-constexpr Millis RetryWait{ 50 };
+constexpr Millis RetryWait{50};
 // Share of the deadline that a call may spend looking for a backend server.
 constexpr std::int64_t LookingShare = 4;
 // Cost of a further offer, in parts of a full retry: it runs nothing twice.
@@ -101,7 +101,7 @@
 void reportFailure(World &world, const CallHandle &handle, ResultCode code, const TraceId &trace)
 {
     ++world.counters_.results_[code];
-    world.emit(FailCall{ handle, code, trace });
+    world.emit(FailCall{handle, code, trace});
 }
 
 // Takes from the retry allowance what a further attempt costs. True for first attempts.
@@ -159,20 +159,20 @@
 Classification classify(const World &world, const ServiceName &service, const std::string &method, const std::string &path, bool hasKey)
 {
     if (!world.tickets_.current_) {
-        return Classification{ ResultCode::NotReady, nullptr };
+        return Classification{ResultCode::NotReady, nullptr};
     }
     const ServiceSpec *spec = findService(world, service);
     if (spec == nullptr) {
-        return Classification{ ResultCode::UnknownService, nullptr };
+        return Classification{ResultCode::UnknownService, nullptr};
     }
     const auto found = std::find_if(spec->classes_.begin(), spec->classes_.end(), [&](const RequestClass &row) { return matches(row, method, path); });
     if (found == spec->classes_.end()) {
-        return Classification{ ResultCode::UnknownService, nullptr };
+        return Classification{ResultCode::UnknownService, nullptr};
     }
     if (found->keyRequired_ && !hasKey) {
-        return Classification{ ResultCode::KeyRequired, nullptr };
+        return Classification{ResultCode::KeyRequired, nullptr};
     }
-    return Classification{ ResultCode::Ok, &*found };
+    return Classification{ResultCode::Ok, &*found};
 }
 
 void handle(World &world, const CallArrived &event)
@@ -253,7 +253,7 @@
         endAttempt(world, attempt, code, true);
     }
     world.emit(
-        EndSpan{ call.trace_, call.span_, call.parentSpan_, "call", call.service_.value() + "/" + call.class_.value(), call.startedAt_, world.now_, code });
+        EndSpan{call.trace_, call.span_, call.parentSpan_, "call", call.service_.value() + "/" + call.class_.value(), call.startedAt_, world.now_, code});
     world.calls_.byHandle_.erase(call.handle_);
     world.calls_.calls_.remove(id);
 }
--- a/src/call/suspect_system.cpp
+++ b/src/call/suspect_system.cpp
@@ -15,12 +15,12 @@
 // Failures after which a request is refused.
 constexpr std::uint8_t QuarantineFailures = 2;
 // A notice is repeated after this time, and so often at most.
-constexpr Millis ResendInterval{ 40 };
+constexpr Millis ResendInterval{40};
 constexpr std::int32_t MaxSends = 5;
 // Time between searches for expired rows.
-constexpr Millis SweepInterval{ 1000 };
+constexpr Millis SweepInterval{1000};
 // Suspicion lasts this long when no ticket says otherwise.
-constexpr Millis DefaultQuarantine{ 600000 };
+constexpr Millis DefaultQuarantine{600000};
 constexpr int HexBase = 16;
 
 // How long suspicion lasts.
@@ -43,7 +43,7 @@
     if (failures >= QuarantineFailures) {
         std::string text = "request quarantined: fingerprint ";
         text += std::to_string(fingerprint.value());
-        world.emit(LogChange{ std::move(text) });
+        world.emit(LogChange{std::move(text)});
     }
 }
 
@@ -63,11 +63,11 @@
 // Sends a notice to everyone who has not confirmed it.
 void sendNotice(World &world, SuspectSpread &spread, bool cleared)
 {
-    const SuspectNotice notice{ spread.token_, spread.fingerprint_, spread.failures_, cleared };
+    const SuspectNotice notice{spread.token_, spread.fingerprint_, spread.failures_, cleared};
     for (const InstanceId id : spread.awaiting_) {
         const Instance *peer = world.fleet_.rows_.get(id);
         if (peer != nullptr) {
-            world.emit(SendDatagram{ peer->record_.address_, peer->region_, notice, Purpose::Quarantine });
+            world.emit(SendDatagram{peer->record_.address_, peer->region_, notice, Purpose::Quarantine});
         }
     }
     ++spread.sends_;
@@ -77,8 +77,8 @@
 // Fails the exchange whose request is under suspicion.
 void settle(World &world, const SuspectSpread &spread)
 {
-    const Failed reply{ spread.attempt_, numberOf(ResultCode::BackendFailed), LoadReport{} };
-    world.emit(FailExchange{ spread.exchange_, reply });
+    const Failed reply{spread.attempt_, numberOf(ResultCode::BackendFailed), LoadReport{}};
+    world.emit(FailExchange{spread.exchange_, reply});
 }
 
 // Forgets suspects whose time is over.
@@ -155,7 +155,7 @@
         return;
     }
     raiseFailures(world, notice.fingerprint_, notice.failures_);
-    world.emit(SendDatagram{ from, regionOf(world, from), SuspectAck{ notice.token_ }, Purpose::Quarantine });
+    world.emit(SendDatagram{from, regionOf(world, from), SuspectAck{notice.token_}, Purpose::Quarantine});
 }
 
 void take(World &world, const Address &from, const SuspectAck &ack)
--- a/src/core/address.cpp
+++ b/src/core/address.cpp
@@ -42,7 +42,7 @@
 {
     const char *cursor = text.data();
     Address address;
-    constexpr std::array<char, 4> Separators{ '.', '.', '.', ':' };
+    constexpr std::array<char, 4> Separators{'.', '.', '.', ':'};
     for (const char separator : Separators) {
         address.ip_ = (address.ip_ << OctetBits) | readNumber(text, cursor, MaxOctet);
         expect(text, cursor, separator);
--- a/src/core/pool.h
+++ b/src/core/pool.h
@@ -33,7 +33,7 @@
     // The id that packed() gave.
     static PoolId fromPacked(std::uint64_t packed)
     {
-        return PoolId{ static_cast<std::uint32_t>(packed), static_cast<std::uint32_t>(packed >> 32U) };
+        return PoolId{static_cast<std::uint32_t>(packed), static_cast<std::uint32_t>(packed >> 32U)};
     }
 
     // Orders by position, then by use.
@@ -53,7 +53,7 @@
         entry.row_.emplace(std::move(row));
         ++entry.generation_;
         ++size_;
-        return Id{ index, entry.generation_ };
+        return Id{index, entry.generation_};
     }
 
     // The row, or nullptr when it was removed or never existed.
@@ -102,7 +102,7 @@
         if (index >= entries_.size() || !entries_[index].row_.has_value()) {
             return Id{};
         }
-        return Id{ static_cast<std::uint32_t>(index), entries_[index].generation_ };
+        return Id{static_cast<std::uint32_t>(index), entries_[index].generation_};
     }
 
     // Calls visit(id, row) for every row, by position.
--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -19,7 +19,7 @@
 
 std::string_view toText(Outcome outcome)
 {
-    constexpr std::array<std::string_view, 4> Texts{ "answered", "not-run", "unknown", "config" };
+    constexpr std::array<std::string_view, 4> Texts{"answered", "not-run", "unknown", "config"};
     return Texts[static_cast<std::size_t>(outcome)];
 }
 
--- a/src/core/timer_queue.h
+++ b/src/core/timer_queue.h
@@ -43,7 +43,7 @@
     // Adds a deadline.
     void add(Millis due, TimerKind kind, std::uint64_t row)
     {
-        heap_.push(Timer{ due, kind, row });
+        heap_.push(Timer{due, kind, row});
     }
 
     // When the next one is due.
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -16,19 +16,19 @@
 const std::vector<CommandEntry> &commandTable()
 {
     static const std::vector<CommandEntry> Commands{
-        { "ticket check", "FILE", 1, "check a ticket file without asking any daemon", runTicketCheck },
-        { "ticket submit", "FILE", 1, "submit a ticket; without a number it takes the next one", runTicketSubmit },
-        { "ticket show", "NUMBER", 1, "show one ticket of the store (needs --store)", runTicketShow },
-        { "ticket log", "", 0, "list all tickets of the store (needs --store)", runTicketLog },
-        { "ticket diff", "FILE", 1, "show what a ticket would change", runTicketDiff },
-        { "status", "", 0, "show what is in force in each failure domain, and who is behind", runStatus },
-        { "members", "", 0, "list the instances that the daemon knows", runMembers },
-        { "drain", "INSTANCE", 1, "let an instance take no new work, by a ticket (--undo ends it)", runDrain },
-        { "explain", "TRACE", 1, "show the hops, refusals and codes of one call", runExplain },
-        { "budget", "", 0, "show traffic by purpose and region pair against the measuring budget", runBudgetReport },
-        { "quarantine list", "", 0, "list suspected and quarantined requests", runQuarantineList },
-        { "quarantine release", "FINGERPRINT", 1, "set a request free, by a ticket", runQuarantineRelease },
-        { "completion", "", 0, "print a completion script for bash", runCompletion },
+        {"ticket check", "FILE", 1, "check a ticket file without asking any daemon", runTicketCheck},
+        {"ticket submit", "FILE", 1, "submit a ticket; without a number it takes the next one", runTicketSubmit},
+        {"ticket show", "NUMBER", 1, "show one ticket of the store (needs --store)", runTicketShow},
+        {"ticket log", "", 0, "list all tickets of the store (needs --store)", runTicketLog},
+        {"ticket diff", "FILE", 1, "show what a ticket would change", runTicketDiff},
+        {"status", "", 0, "show what is in force in each failure domain, and who is behind", runStatus},
+        {"members", "", 0, "list the instances that the daemon knows", runMembers},
+        {"drain", "INSTANCE", 1, "let an instance take no new work, by a ticket (--undo ends it)", runDrain},
+        {"explain", "TRACE", 1, "show the hops, refusals and codes of one call", runExplain},
+        {"budget", "", 0, "show traffic by purpose and region pair against the measuring budget", runBudgetReport},
+        {"quarantine list", "", 0, "list suspected and quarantined requests", runQuarantineList},
+        {"quarantine release", "FINGERPRINT", 1, "set a request free, by a ticket", runQuarantineRelease},
+        {"completion", "", 0, "print a completion script for bash", runCompletion},
     };
     return Commands;
 }
--- a/src/ctl/ctl_client.cpp
+++ b/src/ctl/ctl_client.cpp
@@ -58,7 +58,7 @@
     for (const json::value &row : members.as_array()) {
         const std::string health = textOf(row, "health");
         if (health == "alive" || health == "suspect") {
-            answers.push_back(FleetAnswer{ textOf(row, "instance"), textOf(row, "failure_domain"), false, {} });
+            answers.push_back(FleetAnswer{textOf(row, "instance"), textOf(row, "failure_domain"), false, {}});
             addresses.push_back(parseAddress(textOf(row, "admin_address")));
         }
     }
@@ -84,7 +84,7 @@
 
 std::vector<Address> CtlClient::submitAddresses()
 {
-    std::vector<Address> addresses{ admin_ };
+    std::vector<Address> addresses{admin_};
     const json::value members = get("/members");
     for (const json::value &row : members.as_array()) {
         const Address address = parseAddress(textOf(row, "admin_address"));
@@ -97,7 +97,7 @@
 
 std::vector<Ticket> CtlClient::readTickets(Address store, TicketNumber from)
 {
-    const StoreOperation operation = TicketRead{ from };
+    const StoreOperation operation = TicketRead{from};
     const std::optional<TextResponse> response = ask(store, makeRequest(http::verb::post, "/table/transact", storeRequestText(operation)), PageTimeout);
     if (!response || response->result() != http::status::ok) {
         throw Error(ResultCode::StoreDown, toText(store));
--- a/src/ctl/fleet_commands.cpp
+++ b/src/ctl/fleet_commands.cpp
@@ -142,16 +142,16 @@
 {
     json::array rows;
     for (const ExplainedSpan &span : spans) {
-        rows.push_back(json::object{ { "instance", span.instance_ },
-                                     { "span", span.id_ },
-                                     { "parent", span.parent_ },
-                                     { "name", span.name_ },
-                                     { "detail", span.detail_ },
-                                     { "code", span.code_ },
-                                     { "result", span.result_ },
-                                     { "outcome", span.outcome_ },
-                                     { "start_unix_nano", span.startNanos_ },
-                                     { "end_unix_nano", span.endNanos_ } });
+        rows.push_back(json::object{{"instance", span.instance_},
+                                    {"span", span.id_},
+                                    {"parent", span.parent_},
+                                    {"name", span.name_},
+                                    {"detail", span.detail_},
+                                    {"code", span.code_},
+                                    {"result", span.result_},
+                                    {"outcome", span.outcome_},
+                                    {"start_unix_nano", span.startNanos_},
+                                    {"end_unix_nano", span.endNanos_}});
     }
     return rows;
 }
@@ -175,13 +175,13 @@
     const std::uint64_t highest = highestOf(answers);
     json::array rows;
     for (const auto &[name, domain] : groupByDomain(answers, highest)) {
-        rows.push_back(json::object{ { "failure_domain", name },
-                                     { "daemons", domain.daemons_ },
-                                     { "in_force", domain.lowest_ == std::numeric_limits<std::uint64_t>::max() ? 0 : domain.lowest_ },
-                                     { "highest", highest },
-                                     { "joining", domain.joining_ },
-                                     { "silent", domain.silent_ },
-                                     { "behind", join(domain.behind_) } });
+        rows.push_back(json::object{{"failure_domain", name},
+                                    {"daemons", domain.daemons_},
+                                    {"in_force", domain.lowest_ == std::numeric_limits<std::uint64_t>::max() ? 0 : domain.lowest_},
+                                    {"highest", highest},
+                                    {"joining", domain.joining_},
+                                    {"silent", domain.silent_},
+                                    {"behind", join(domain.behind_)}});
     }
     return printRows(rows, context.json_);
 }
@@ -234,18 +234,18 @@
     for (const auto &[key, sum] : sums) {
         const std::size_t first = key.find(',');
         const std::size_t second = key.find(',', first + 1);
-        rows.push_back(json::object{ { "purpose", key.substr(0, first) },
-                                     { "from", key.substr(first + 1, second - first - 1) },
-                                     { "to", key.substr(second + 1) },
-                                     { "messages", sum.first },
-                                     { "bytes", sum.second } });
+        rows.push_back(json::object{{"purpose", key.substr(0, first)},
+                                    {"from", key.substr(first + 1, second - first - 1)},
+                                    {"to", key.substr(second + 1)},
+                                    {"messages", sum.first},
+                                    {"bytes", sum.second}});
     }
     if (limits.is_object() && !context.json_) {
         std::cout << "set for each daemon: " << limits.at("bytes_per_second") << " bytes/s, " << limits.at("probes_per_second") << " probes/s; pairs "
                   << json::serialize(limits.at("region_pairs")) << "\n";
     }
     if (context.json_) {
-        printJson(json::object{ { "set", limits }, { "spent", rows } });
+        printJson(json::object{{"set", limits}, {"spent", rows}});
         return ExitCode::Ok;
     }
     return printRows(rows, false);
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -46,10 +46,10 @@
         const bool two = words.size() >= 2 && entry.words_ == words[0] + " " + words[1];
         const bool one = !words.empty() && entry.words_ == words[0];
         if (two || one) {
-            return { &entry, two ? 2 : 1 };
+            return {&entry, two ? 2 : 1};
         }
     }
-    return { nullptr, 0 };
+    return {nullptr, 0};
 }
 
 // The value of an option, or a fallback.
@@ -63,13 +63,13 @@
 {
     const char *user = std::getenv("USER");
     const std::string store = textOption(values, "store", "");
-    return CommandContext{ CtlClient(parseAddress(values["admin"].as<std::string>())),
-                           store.empty() ? Address{} : parseAddress(store),
-                           std::move(operands),
-                           values.count("json") > 0,
-                           values.count("undo") > 0,
-                           textOption(values, "author", user == nullptr ? "operator" : user),
-                           textOption(values, "reason", "") };
+    return CommandContext{CtlClient(parseAddress(values["admin"].as<std::string>())),
+                          store.empty() ? Address{} : parseAddress(store),
+                          std::move(operands),
+                          values.count("json") > 0,
+                          values.count("undo") > 0,
+                          textOption(values, "author", user == nullptr ? "operator" : user),
+                          textOption(values, "reason", "")};
 }
 
 // Reads the command line and runs the command.
@@ -95,7 +95,7 @@
         printHelp(std::cerr);
         return ExitCode::Usage;
     }
-    CommandContext context = makeContext(values, { words.begin() + static_cast<std::ptrdiff_t>(used), words.end() });
+    CommandContext context = makeContext(values, {words.begin() + static_cast<std::ptrdiff_t>(used), words.end()});
     return command->run_(context);
 }
 
--- a/src/ctl/ticket_commands.cpp
+++ b/src/ctl/ticket_commands.cpp
@@ -63,7 +63,7 @@
         }
         for (const auto &member : before.as_object()) {
             if (!after.as_object().contains(member.key())) {
-                rows.push_back({ path + "." + std::string(member.key()), plainText(member.value()), "(removed)" });
+                rows.push_back({path + "." + std::string(member.key()), plainText(member.value()), "(removed)"});
             }
         }
         return;
@@ -75,7 +75,7 @@
         }
         return;
     }
-    rows.push_back({ path, before.is_null() ? "(none)" : plainText(before), plainText(after) });
+    rows.push_back({path, before.is_null() ? "(none)" : plainText(before), plainText(after)});
 }
 
 // What a ticket changes against what is in force.
@@ -101,9 +101,9 @@
     if (asJson) {
         json::array list;
         for (const auto &row : rows) {
-            list.push_back(json::object{ { "field", row[0] }, { "in_force", row[1] }, { "ticket", row[2] } });
+            list.push_back(json::object{{"field", row[0]}, {"in_force", row[1]}, {"ticket", row[2]}});
         }
-        printJson(json::object{ { "in_force", objects.at("ticket") }, { "changes", list } });
+        printJson(json::object{{"in_force", objects.at("ticket")}, {"changes", list}});
         return;
     }
     std::cout << "in force: ticket " << objects.at("ticket") << "\n";
@@ -111,7 +111,7 @@
         std::cout << "the ticket changes nothing\n";
         return;
     }
-    printTable(TextTable{ { "FIELD", "IN FORCE", "TICKET" }, rows });
+    printTable(TextTable{{"FIELD", "IN FORCE", "TICKET"}, rows});
 }
 
 // Submits a ticket and prints the outcome.
@@ -156,7 +156,7 @@
     for (const TicketObject &object : ticket.objects_) {
         objects += (objects.empty() ? "" : ", ") + std::string(kindName(object.spec_)) + " " + object.name_;
     }
-    return { std::to_string(ticket.number_.value()), ticket.author_, ticket.reason_, objects };
+    return {std::to_string(ticket.number_.value()), ticket.author_, ticket.reason_, objects};
 }
 
 // Tickets of the store; throws when no store address was given.
@@ -176,7 +176,7 @@
     if (context.json_) {
         printJson(toJson(ticket));
     } else {
-        printTable(TextTable{ { "NUMBER", "AUTHOR", "REASON", "OBJECTS" }, { summaryOf(ticket) } });
+        printTable(TextTable{{"NUMBER", "AUTHOR", "REASON", "OBJECTS"}, {summaryOf(ticket)}});
         std::cout << "the ticket is valid\n";
     }
     return ExitCode::Ok;
@@ -200,7 +200,7 @@
 
 ExitCode runTicketLog(CommandContext &context)
 {
-    TextTable table{ { "NUMBER", "AUTHOR", "REASON", "OBJECTS" }, {} };
+    TextTable table{{"NUMBER", "AUTHOR", "REASON", "OBJECTS"}, {}};
     json::array list;
     TicketNumber from(1);
     for (;;) {
@@ -232,13 +232,13 @@
 {
     const std::string &instance = context.operands_.front();
     const std::string reason = (context.undo_ ? "end of drain of " : "drain of ") + instance;
-    return submit(context, makeTicket(context, reason, TicketObject{ instance, TicketNumber(), DrainSpec{ !context.undo_ } }));
+    return submit(context, makeTicket(context, reason, TicketObject{instance, TicketNumber(), DrainSpec{!context.undo_}}));
 }
 
 ExitCode runQuarantineRelease(CommandContext &context)
 {
     const std::string &fingerprint = context.operands_.front();
-    return submit(context, makeTicket(context, "release of " + fingerprint, TicketObject{ fingerprint, TicketNumber(), QuarantineSpec{ false } }));
+    return submit(context, makeTicket(context, "release of " + fingerprint, TicketObject{fingerprint, TicketNumber(), QuarantineSpec{false}}));
 }
 
 } // namespace radishford
--- a/src/daemon/admin_pages.cpp
+++ b/src/daemon/admin_pages.cpp
@@ -45,25 +45,25 @@
 }
 
 // Names of health values and backend states on pages.
-constexpr std::array<const char *, 4> HealthNames{ "alive", "suspect", "dead", "left" };
-constexpr std::array<const char *, 4> StateNames{ "absent", "starting", "ready", "draining" };
+constexpr std::array<const char *, 4> HealthNames{"alive", "suspect", "dead", "left"};
+constexpr std::array<const char *, 4> StateNames{"absent", "starting", "ready", "draining"};
 
 // One row of the members page.
 json::object memberRow(const World &world, const Instance &row)
 {
     const InstanceRecord &record = row.record_;
     return json::object{
-        { "instance", record.name_.value() },
-        { "failure_domain", record.failureDomain_ },
-        { "region", regionName(world, row.region_) },
-        { "address", toText(record.address_) },
-        { "admin_address", toText(record.adminAddress_) },
-        { "health", HealthNames[static_cast<std::size_t>(record.health_)] },
-        { "service", record.service_.value() },
-        { "slots", record.slots_.value() },
-        { "backend", StateNames[static_cast<std::size_t>(record.backend_)] },
-        { "incarnation", record.incarnation_.value() },
-        { "outstanding", row.outstanding_ },
+        {"instance", record.name_.value()},
+        {"failure_domain", record.failureDomain_},
+        {"region", regionName(world, row.region_)},
+        {"address", toText(record.address_)},
+        {"admin_address", toText(record.adminAddress_)},
+        {"health", HealthNames[static_cast<std::size_t>(record.health_)]},
+        {"service", record.service_.value()},
+        {"slots", record.slots_.value()},
+        {"backend", StateNames[static_cast<std::size_t>(record.backend_)]},
+        {"incarnation", record.incarnation_.value()},
+        {"outstanding", row.outstanding_},
     };
 }
 
@@ -74,9 +74,9 @@
 };
 
 constexpr std::array Pages{
-    PageEntry{ "/metrics", &AdminPages::metricsPage },       PageEntry{ "/spans", &AdminPages::spansPage },     PageEntry{ "/status", &AdminPages::statusPage },
-    PageEntry{ "/members", &AdminPages::membersPage },       PageEntry{ "/objects", &AdminPages::objectsPage }, PageEntry{ "/budget", &AdminPages::budgetPage },
-    PageEntry{ "/quarantine", &AdminPages::quarantinePage },
+    PageEntry{"/metrics", &AdminPages::metricsPage},       PageEntry{"/spans", &AdminPages::spansPage},     PageEntry{"/status", &AdminPages::statusPage},
+    PageEntry{"/members", &AdminPages::membersPage},       PageEntry{"/objects", &AdminPages::objectsPage}, PageEntry{"/budget", &AdminPages::budgetPage},
+    PageEntry{"/quarantine", &AdminPages::quarantinePage},
 };
 
 } // namespace
@@ -118,17 +118,17 @@
     const World &world = engine_.world();
     const LocalBackend &backend = world.admissions_.backend_;
     return jsonPage(json::object{
-        { "instance", settings_.world_.name_.value() },
-        { "failure_domain", settings_.world_.failureDomain_ },
-        { "ticket", world.tickets_.highest_.value() },
-        { "current", world.tickets_.current_ },
-        { "leaving", isLeaving(world) },
-        { "service", backend.service_.value() },
-        { "backend", StateNames[static_cast<std::size_t>(backend.state_)] },
-        { "in_flight", world.admissions_.inFlight_.value() },
-        { "queued", world.admissions_.queued_.value() },
-        { "limit", currentLoad(world).limit_.value() },
-        { "calls", world.calls_.calls_.size() },
+        {"instance", settings_.world_.name_.value()},
+        {"failure_domain", settings_.world_.failureDomain_},
+        {"ticket", world.tickets_.highest_.value()},
+        {"current", world.tickets_.current_},
+        {"leaving", isLeaving(world)},
+        {"service", backend.service_.value()},
+        {"backend", StateNames[static_cast<std::size_t>(backend.state_)]},
+        {"in_flight", world.admissions_.inFlight_.value()},
+        {"queued", world.admissions_.queued_.value()},
+        {"limit", currentLoad(world).limit_.value()},
+        {"calls", world.calls_.calls_.size()},
     });
 }
 
@@ -146,7 +146,7 @@
     for (const auto &[key, object] : engine_.world().tickets_.objects_) {
         rows.push_back(toJson(object));
     }
-    return jsonPage(json::object{ { "ticket", engine_.world().tickets_.highest_.value() }, { "objects", rows } });
+    return jsonPage(json::object{{"ticket", engine_.world().tickets_.highest_.value()}, {"objects", rows}});
 }
 
 TextResponse AdminPages::budgetPage(const std::string & /*query*/)
@@ -160,10 +160,10 @@
     json::array rows;
     for (const auto &[fingerprint, suspect] : world.suspects_.rows_) {
         rows.push_back(json::object{
-            { "fingerprint", toHex(fingerprint.value()) },
-            { "failures", suspect.failures_ },
-            { "quarantined", isQuarantined(world, fingerprint) },
-            { "seconds_left", std::max<std::int64_t>(0, (suspect.until_ - world.now_).count() / 1000) },
+            {"fingerprint", toHex(fingerprint.value())},
+            {"failures", suspect.failures_},
+            {"quarantined", isQuarantined(world, fingerprint)},
+            {"seconds_left", std::max<std::int64_t>(0, (suspect.until_ - world.now_).count() / 1000)},
         });
     }
     return jsonPage(rows);
@@ -187,13 +187,13 @@
 
 Task<TextResponse> AdminPages::submit(std::string text)
 {
-    TicketSubmitted event{ ++lastHandle_, {} };
+    TicketSubmitted event{++lastHandle_, {}};
     try {
         event.ticket_ = parseTicket(text);
         checkPlaces(event.ticket_, settings_.world_.places_);
     } catch (const Error &problem) {
         TextResponse response = failureResponse(problem.code(), "", true);
-        response.body() = json::serialize(json::object{ { "code", numberOf(problem.code()) }, { "text", problem.what() } }) + "\n";
+        response.body() = json::serialize(json::object{{"code", numberOf(problem.code())}, {"text", problem.what()}}) + "\n";
         co_return response;
     }
     const auto waiting = std::make_shared<WaitingTicket>(engine_.context().get_executor());
@@ -205,7 +205,7 @@
     waiting_.erase(event.handle_);
     const ReplyTicket &reply = *waiting->reply_;
     const ResultCodeInfo &info = infoOf(reply.code_);
-    json::object body{ { "code", numberOf(reply.code_) }, { "result", info.name_ }, { "text", info.text_ }, { "highest", reply.highest_.value() } };
+    json::object body{{"code", numberOf(reply.code_)}, {"result", info.name_}, {"text", info.text_}, {"highest", reply.highest_.value()}};
     if (!reply.holder_.empty()) {
         body["holder"] = toJson(reply.holder_.front());
     }
--- a/src/daemon/announce_page.cpp
+++ b/src/daemon/announce_page.cpp
@@ -16,11 +16,11 @@
 // Reads the state's name. Throws Error with OutOfRange.
 BackendState readState(const std::string &name)
 {
-    constexpr std::array<std::pair<std::string_view, BackendState>, 3> States{ {
-        { "starting", BackendState::Starting },
-        { "ready", BackendState::Ready },
-        { "draining", BackendState::Draining },
-    } };
+    constexpr std::array<std::pair<std::string_view, BackendState>, 3> States{{
+        {"starting", BackendState::Starting},
+        {"ready", BackendState::Ready},
+        {"draining", BackendState::Draining},
+    }};
     const auto found = std::find_if(States.begin(), States.end(), [&](const auto &entry) { return entry.first == name; });
     if (found == States.end()) {
         throw Error(ResultCode::OutOfRange, "state (starting, ready or draining)");
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -23,7 +23,7 @@
 template<std::size_t... Indexes>
 constexpr std::array<EffectFunction, sizeof...(Indexes)> effectFunctions(std::index_sequence<Indexes...>)
 {
-    return { applyAt<Indexes>... };
+    return {applyAt<Indexes>...};
 }
 
 constexpr auto EffectFunctions = effectFunctions(std::make_index_sequence<std::variant_size_v<Effect>>());
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -87,24 +87,24 @@
     json::array spent;
     for (const auto &[key, traffic] : world.counters_.traffic_) {
         spent.push_back(json::object{
-            { "purpose", PurposeNames[static_cast<std::size_t>(key.purpose_)] },
-            { "from", regionName(world, ownRegion(world)) },
-            { "to", regionName(world, key.toRegion_) },
-            { "messages", traffic.messages_ },
-            { "bytes", traffic.bytes_.value() },
+            {"purpose", PurposeNames[static_cast<std::size_t>(key.purpose_)]},
+            {"from", regionName(world, ownRegion(world))},
+            {"to", regionName(world, key.toRegion_)},
+            {"messages", traffic.messages_},
+            {"bytes", traffic.bytes_.value()},
         });
     }
     json::array pairs;
     for (const RegionPairBudget &pair : spec.regionPairs_) {
         pairs.push_back(json::object{
-            { "from", pair.from_ }, { "to", pair.to_ }, { "bytes_per_second", pair.bytesPerSecond_.value() }, { "probes_per_second", pair.probesPerSecond_ } });
+            {"from", pair.from_}, {"to", pair.to_}, {"bytes_per_second", pair.bytesPerSecond_.value()}, {"probes_per_second", pair.probesPerSecond_}});
     }
     return json::object{
-        { "bytes_per_second", spec.bytesPerSecond_.value() },
-        { "probes_per_second", spec.probesPerSecond_ },
-        { "pairs_shared_by", world.measure_.sharers_ },
-        { "region_pairs", pairs },
-        { "spent", spent },
+        {"bytes_per_second", spec.bytesPerSecond_.value()},
+        {"probes_per_second", spec.probesPerSecond_},
+        {"pairs_shared_by", world.measure_.sharers_},
+        {"region_pairs", pairs},
+        {"spent", spent},
     };
 }
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -42,7 +42,7 @@
     reader.value("places");
     for (const json::value &value : reader.list("places")) {
         JsonReader row(value, "places[" + std::to_string(places.size()) + "]");
-        Place place{ row.text("failure_domain"), row.text("region") };
+        Place place{row.text("failure_domain"), row.text("region")};
         row.finish();
         const bool known = std::any_of(places.begin(), places.end(), [&](const Place &other) { return other.failureDomain_ == place.failureDomain_; });
         if (known) {
@@ -96,12 +96,12 @@
 // Rejects one address for two roles.
 void checkAddresses(const DaemonSettings &settings)
 {
-    const std::array<std::pair<const char *, Address>, 4> roles{ {
-        { "daemon_address", settings.world_.address_ },
-        { "caller_address", settings.callerAddress_ },
-        { "announce_address", settings.announceAddress_ },
-        { "admin_address", settings.world_.adminAddress_ },
-    } };
+    const std::array<std::pair<const char *, Address>, 4> roles{{
+        {"daemon_address", settings.world_.address_},
+        {"caller_address", settings.callerAddress_},
+        {"announce_address", settings.announceAddress_},
+        {"admin_address", settings.world_.adminAddress_},
+    }};
     std::map<Address, const char *> seen;
     for (const auto &[key, address] : roles) {
         const auto [other, added] = seen.emplace(address, key);
--- a/src/fleet/gossip_system.cpp
+++ b/src/fleet/gossip_system.cpp
@@ -14,15 +14,15 @@
 namespace {
 
 // Time between heartbeats of one daemon.
-constexpr Millis Period{ 1000 };
+constexpr Millis Period{1000};
 // A ping without answer for this long is tried through others.
-constexpr Millis IndirectAfter{ 300 };
+constexpr Millis IndirectAfter{300};
 // A ping without answer for this long makes the target suspect.
-constexpr Millis SuspectAfter{ 1000 };
+constexpr Millis SuspectAfter{1000};
 // A suspect that does not refute for this long is dead.
-constexpr Millis DeadAfter{ 3000 };
+constexpr Millis DeadAfter{3000};
 // Rows of instances that are gone are kept this long, so that old records cannot revive them.
-constexpr Millis ForgetAfter{ 600000 };
+constexpr Millis ForgetAfter{600000};
 // Daemons asked to ping a silent one.
 constexpr int IndirectHelpers = 2;
 // Records that fit into one datagram beside the header.
@@ -101,7 +101,7 @@
 // Emits a datagram of the heartbeat protocol.
 void sendMembership(World &world, const Address &to, Datagram datagram)
 {
-    world.emit(SendDatagram{ to, regionOf(world, to), std::move(datagram), Purpose::Membership });
+    world.emit(SendDatagram{to, regionOf(world, to), std::move(datagram), Purpose::Membership});
 }
 
 // Sends a ping and remembers it.
@@ -109,7 +109,7 @@
 {
     FleetTable &fleet = world.fleet_;
     const std::uint32_t sequence = ++fleet.sequence_;
-    Ping ping{ makeHeader(world, sequence, false) };
+    Ping ping{makeHeader(world, sequence, false)};
     const Instance *row = fleet.rows_.get(target);
     const bool gone = row != nullptr && !isRunning(*row);
     if (gone) {
@@ -119,7 +119,7 @@
     sendMembership(world, to, std::move(ping));
     world.counters_.add(Counter::PingsSent);
     if (target.isValid() && !gone) {
-        fleet.pending_.push_back(PendingPing{ sequence, target, world.now_, false });
+        fleet.pending_.push_back(PendingPing{sequence, target, world.now_, false});
     }
 }
 
@@ -167,11 +167,11 @@
     const InstanceId near = drawRunning(world, world.fleet_.byDomain_[self.domain_.value()]);
     const InstanceId inRegion = drawElsewhere(world, true);
     const InstanceId far = drawElsewhere(world, false);
-    std::array<InstanceId, 3> order{ near, inRegion, far };
+    std::array<InstanceId, 3> order{near, inRegion, far};
     if (dice >= RegionPermille) {
-        order = { far, inRegion, near };
+        order = {far, inRegion, near};
     } else if (dice >= DomainPermille) {
-        order = { inRegion, near, far };
+        order = {inRegion, near, far};
     }
     const auto found = std::find_if(order.begin(), order.end(), [](InstanceId id) { return id.isValid(); });
     return found == order.end() ? InstanceId{} : *found;
@@ -240,7 +240,7 @@
         const InstanceId id = drawTarget(world);
         if (id.isValid() && id != pending.target_) {
             const Address to = world.fleet_.rows_.get(id)->record_.address_;
-            sendMembership(world, to, PingRequest{ makeHeader(world, pending.sequence_, false), target });
+            sendMembership(world, to, PingRequest{makeHeader(world, pending.sequence_, false), target});
         }
     }
 }
@@ -258,7 +258,8 @@
         const Millis age = world.now_ - ping.sentAt_;
         if (age >= SuspectAfter) {
             world.counters_.add(Counter::PingsMissed);
-            if (row->record_.health_ == Health::Alive) {
+            const bool heard = row->heardAt_ > ping.sentAt_;
+            if (row->record_.health_ == Health::Alive && !heard) {
                 setHealth(world, ping.target_, Health::Suspect);
             }
             continue;
@@ -303,7 +304,7 @@
 {
     takeHeader(world, from, ping.header_);
     const bool differs = ping.header_.tableHash_ != world.fleet_.tableHash_;
-    sendMembership(world, from, Ack{ makeHeader(world, ping.header_.sequence_, differs) });
+    sendMembership(world, from, Ack{makeHeader(world, ping.header_.sequence_, differs)});
 }
 
 // Passes an acknowledgement back to the daemon that asked for the ping.
@@ -314,7 +315,7 @@
     if (found == relayed.end()) {
         return;
     }
-    sendMembership(world, found->asker_, Ack{ makeHeader(world, found->askerSequence_, false) });
+    sendMembership(world, found->asker_, Ack{makeHeader(world, found->askerSequence_, false)});
     relayed.erase(found);
 }
 
@@ -332,8 +333,8 @@
 {
     takeHeader(world, from, request.header_);
     const std::uint32_t sequence = ++world.fleet_.sequence_;
-    world.fleet_.relayed_.push_back(RelayedPing{ sequence, from, request.header_.sequence_, world.now_ });
-    sendMembership(world, request.target_, Ping{ makeHeader(world, sequence, false) });
+    world.fleet_.relayed_.push_back(RelayedPing{sequence, from, request.header_.sequence_, world.now_});
+    sendMembership(world, request.target_, Ping{makeHeader(world, sequence, false)});
 }
 
 // The own record as the daemon's state gives it.
--- a/src/fleet/instance_base.h
+++ b/src/fleet/instance_base.h
@@ -33,6 +33,8 @@
     Millis avoidUntil_;
     // Failures in a row, for longer avoidance.
     std::int32_t failures_ = 0;
+    // When the instance last answered an offer or sent an answer to this daemon.
+    Millis heardAt_;
     // When a probe was last sent.
     Millis probedAt_;
 };
--- a/src/fleet/instance_cmd.cpp
+++ b/src/fleet/instance_cmd.cpp
@@ -123,8 +123,8 @@
 // Logs what an operator wants to see of a change.
 void logChange(World &world, const InstanceRecord &record)
 {
-    constexpr std::array<const char *, 4> Texts{ "alive", "suspect", "dead", "left" };
-    world.emit(LogChange{ "instance " + record.name_.value() + " " + Texts[static_cast<std::size_t>(record.health_)] });
+    constexpr std::array<const char *, 4> Texts{"alive", "suspect", "dead", "left"};
+    world.emit(LogChange{"instance " + record.name_.value() + " " + Texts[static_cast<std::size_t>(record.health_)]});
 }
 
 } // namespace
@@ -187,6 +187,14 @@
     logChange(world, record);
 }
 
+void noteHeard(World &world, InstanceId id)
+{
+    Instance *row = world.fleet_.rows_.get(id);
+    if (row != nullptr) {
+        row->heardAt_ = world.now_;
+    }
+}
+
 InstanceId instanceAt(const World &world, const Address &address)
 {
     const auto found = world.fleet_.byAddress_.find(address);
--- a/src/fleet/instance_func.h
+++ b/src/fleet/instance_func.h
@@ -19,6 +19,9 @@
 // Changes health by this daemon's own observation, and spreads it.
 void setHealth(World &world, InstanceId id, Health health);
 
+// Takes note that the instance answered on the data path: it is not suspected for missed pings meanwhile.
+void noteHeard(World &world, InstanceId id);
+
 // The row at an address, or an invalid id.
 InstanceId instanceAt(const World &world, const Address &address);
 
--- a/src/measure/budget_system.cpp
+++ b/src/measure/budget_system.cpp
@@ -93,7 +93,7 @@
 {
     MeasureTable &measure = world.measure_;
     const std::int64_t known = runningInRegion(world, ownRegion(world));
-    measure.sharers_ = std::max<std::int64_t>({ 1, known, measure.spec_.daemonsPerRegion_ });
+    measure.sharers_ = std::max<std::int64_t>({1, known, measure.spec_.daemonsPerRegion_});
     measure.toRegion_.resize(world.settings_.places_.size());
     const auto sharers = static_cast<double>(measure.sharers_);
     for (std::size_t region = 0; region < measure.toRegion_.size(); ++region) {
@@ -118,7 +118,7 @@
 // Counts one message.
 void charge(World &world, Purpose purpose, RegionId toRegion, Bytes bytes)
 {
-    Traffic &traffic = world.counters_.traffic_[TrafficKey{ purpose, toRegion }];
+    Traffic &traffic = world.counters_.traffic_[TrafficKey{purpose, toRegion}];
     ++traffic.messages_;
     traffic.bytes_ += bytes;
 }
--- a/src/measure/choose.cpp
+++ b/src/measure/choose.cpp
@@ -24,11 +24,11 @@
 constexpr double FullLoad = 0.95;
 // Round trips by distance.
 constexpr Millis SameDomainRoundTrip = Millis::fromMicros(100);
-constexpr Millis SameRegionRoundTrip{ 2 };
-constexpr Millis OtherRegionRoundTrip{ 16 };
+constexpr Millis SameRegionRoundTrip{2};
+constexpr Millis OtherRegionRoundTrip{16};
 // Avoidance after a first failure, and the most after several.
-constexpr Millis AvoidFirst{ 100 };
-constexpr Millis AvoidMost{ 5000 };
+constexpr Millis AvoidFirst{100};
+constexpr Millis AvoidMost{5000};
 
 // Estimated load of a candidate, in parts of its limit.
 double loadOf(const Candidate &candidate)
@@ -116,13 +116,13 @@
 };
 
 // By StrategyKind.
-constexpr std::array<StrategyEntry, static_cast<std::size_t>(StrategyKind::Count)> Strategies{ {
-    { loadThenLatency, "load-then-latency" },
-    { anyOne, "random" },
-    { inTurn, "round-robin" },
-    { leastInFlight, "least-in-flight" },
-    { twoChoices, "two-choices" },
-} };
+constexpr std::array<StrategyEntry, static_cast<std::size_t>(StrategyKind::Count)> Strategies{{
+    {loadThenLatency, "load-then-latency"},
+    {anyOne, "random"},
+    {inTurn, "round-robin"},
+    {leastInFlight, "least-in-flight"},
+    {twoChoices, "two-choices"},
+}};
 
 // Round trip to an instance by distance.
 Millis roundTripTo(const World &world, const Instance &instance)
@@ -134,10 +134,27 @@
     return instance.region_ == self.region_ ? SameRegionRoundTrip : OtherRegionRoundTrip;
 }
 
+// Groups of candidates, in the order in which they are tried.
+enum class CandidateGroup : std::uint8_t {
+    Near, // Running, in the own region.
+    Far, // Running, in another region.
+    Doubtful, // Held for dead.
+    Count, // Number of groups.
+};
+
+// The group of an instance.
+CandidateGroup groupOf(const World &world, const Instance &instance)
+{
+    if (!isRunning(instance)) {
+        return CandidateGroup::Doubtful;
+    }
+    return instance.region_ == ownRegion(world) ? CandidateGroup::Near : CandidateGroup::Far;
+}
+
 // True when an instance can take an attempt of a call.
 bool isEligible(const World &world, const Call &call, const Instance &instance)
 {
-    const bool ready = isRunning(instance) && instance.record_.backend_ == BackendState::Ready;
+    const bool ready = instance.record_.health_ != Health::Left && instance.record_.backend_ == BackendState::Ready;
     const bool tried = std::find(call.tried_.begin(), call.tried_.end(), instance.record_.name_) != call.tried_.end();
     return ready && !tried && instance.avoidUntil_ <= world.now_;
 }
@@ -182,22 +199,19 @@
     if (members == world.fleet_.byService_.end()) {
         return InstanceId{};
     }
-    std::vector<Candidate> near;
-    std::vector<Candidate> far;
-    const RegionId region = ownRegion(world);
+    std::array<std::vector<Candidate>, static_cast<std::size_t>(CandidateGroup::Count)> groups;
     for (const InstanceId id : members->second) {
         const Instance &instance = *world.fleet_.rows_.get(id);
         if (isEligible(world, call, instance) && !hasAttemptAt(world, call, id)) {
-            std::vector<Candidate> &group = instance.region_ == region ? near : far;
-            group.push_back(viewOf(world, id, instance));
+            groups[static_cast<std::size_t>(groupOf(world, instance))].push_back(viewOf(world, id, instance));
         }
     }
-    const std::vector<Candidate> &group = near.empty() ? far : near;
-    if (group.empty()) {
+    const auto group = std::find_if(groups.begin(), groups.end(), [](const std::vector<Candidate> &candidates) { return !candidates.empty(); });
+    if (group == groups.end()) {
         return InstanceId{};
     }
-    ChoiceContext context{ world.random_, world.calls_.roundRobin_ };
-    return group[strategyOf(StrategyKind::LoadThenLatency)(context, group)].instance_;
+    ChoiceContext context{world.random_, world.calls_.roundRobin_};
+    return (*group)[strategyOf(StrategyKind::LoadThenLatency)(context, *group)].instance_;
 }
 
 void takeReport(World &world, Instance &instance, const LoadReport &report)
@@ -213,7 +227,7 @@
 
 void avoid(World &world, Instance &instance)
 {
-    const Millis span = AvoidFirst * (std::int64_t{ 1 } << std::min(instance.failures_, 10));
+    const Millis span = AvoidFirst * (std::int64_t{1} << std::min(instance.failures_, 10));
     instance.avoidUntil_ = world.now_ + std::min(span, AvoidMost);
     ++instance.failures_;
 }
--- a/src/measure/choose_func.h
+++ b/src/measure/choose_func.h
@@ -58,7 +58,8 @@
 // The strategy's name on reports.
 std::string_view nameOf(StrategyKind kind);
 
-// Chooses an instance for a further attempt of a call: ready ones of the near region first, others when none is left. Invalid when there is none.
+// Chooses an instance for a further attempt of a call: ready ones of the near region first, then of others, then
+// those that are held for dead, since an offer tells for certain and costs little. Invalid when there is none.
 InstanceId chooseInstance(World &world, const Call &call);
 
 // Takes a load report of an instance.
--- a/src/measure/probe_system.cpp
+++ b/src/measure/probe_system.cpp
@@ -12,13 +12,13 @@
 namespace {
 
 // Time between rounds of probes.
-constexpr Millis RoundInterval{ 100 };
+constexpr Millis RoundInterval{100};
 // A report older than this is worth a probe.
-constexpr Millis StaleAfter{ 200 };
+constexpr Millis StaleAfter{200};
 // One backend server is probed at most this often, whatever it answers.
-constexpr Millis MinProbeInterval{ 1000 };
+constexpr Millis MinProbeInterval{1000};
 // A service without calls for this long is not probed.
-constexpr Millis ActiveFor{ 2000 };
+constexpr Millis ActiveFor{2000};
 // Most probes of one round.
 constexpr int MaxPerRound = 4;
 
@@ -44,9 +44,9 @@
 void sendProbe(World &world, Instance &instance)
 {
     instance.probedAt_ = world.now_;
-    const Probe probe{ ++world.measure_.probeToken_, instance.record_.service_ };
+    const Probe probe{++world.measure_.probeToken_, instance.record_.service_};
     world.counters_.add(Counter::ProbesSent);
-    world.emit(SendDatagram{ instance.record_.address_, instance.region_, probe, Purpose::Measuring });
+    world.emit(SendDatagram{instance.record_.address_, instance.region_, probe, Purpose::Measuring});
 }
 
 // Probes a few backend servers of one service. Returns how many.
@@ -78,8 +78,8 @@
     if (probe.service_ != world.admissions_.backend_.service_) {
         return;
     }
-    const ProbeReply reply{ probe.token_, world.settings_.name_, currentLoad(world) };
-    world.emit(SendDatagram{ from, regionOf(world, from), reply, Purpose::Measuring });
+    const ProbeReply reply{probe.token_, world.settings_.name_, currentLoad(world)};
+    world.emit(SendDatagram{from, regionOf(world, from), reply, Purpose::Measuring});
 }
 
 void take(World &world, const Address &from, const ProbeReply &reply)
--- a/src/net/backend_client.cpp
+++ b/src/net/backend_client.cpp
@@ -11,7 +11,7 @@
 // A connection to the backend server must open within this time.
 constexpr std::chrono::milliseconds ConnectTimeout(500);
 // Bytes of a body that may wait.
-constexpr std::size_t MaxWaiting = std::size_t{ 256 } << 10U;
+constexpr std::size_t MaxWaiting = std::size_t{256} << 10U;
 // Connections kept for further requests.
 constexpr std::size_t MaxKept = 64;
 constexpr unsigned HttpVersion = 11;
@@ -127,7 +127,7 @@
 {
     const auto stream = co_await connect(backend);
     if (!stream || request->cancelled_) {
-        engine_.post(BackendFailed{ request->exchange_, BackendFault::Unreachable });
+        engine_.post(BackendFailed{request->exchange_, BackendFault::Unreachable});
         co_return;
     }
     request->stream_ = stream;
@@ -139,13 +139,13 @@
     if (!whole) {
         stream->close();
         const bool bodyBroken = request->body_->isBroken();
-        engine_.post(BackendFailed{ request->exchange_, bodyBroken ? BackendFault::BodyBroken : BackendFault::Broken });
+        engine_.post(BackendFailed{request->exchange_, bodyBroken ? BackendFault::BodyBroken : BackendFault::Broken});
         co_return;
     }
     if (parser.keep_alive() && kept_.size() < MaxKept && keptFor_ == backend) {
         kept_.push_back(stream);
     }
-    engine_.post(BackendAnswered{ request->exchange_, static_cast<std::uint16_t>(parser.get().result_int()) });
+    engine_.post(BackendAnswered{request->exchange_, static_cast<std::uint16_t>(parser.get().result_int())});
 }
 
 Task<std::shared_ptr<beast::tcp_stream>> BackendClient::connect(Address backend)
@@ -234,7 +234,7 @@
         part.resize(ChunkBytes - body.size);
         request.answerBytes_ += part.size();
         if (!part.empty()) {
-            request.answerTo_->send(BodyChunk{ request.attempt_, part });
+            request.answerTo_->send(BodyChunk{request.attempt_, part});
         }
         co_await request.answerTo_->drained();
     }
--- a/src/net/caller_request.h
+++ b/src/net/caller_request.h
@@ -15,7 +15,7 @@
 namespace radishford {
 
 // Largest part of a body that is passed on at a time.
-constexpr std::size_t ChunkBytes = std::size_t{ 64 } << 10U;
+constexpr std::size_t ChunkBytes = std::size_t{64} << 10U;
 
 // A request read from a caller's connection, and the way back to the caller.
 class CallerRequest
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -15,12 +15,12 @@
 // A caller must send the next request's whole header within this time, or an idle connection is closed.
 constexpr std::chrono::seconds HeaderTimeout(30);
 // Bodies up to this size are read before the call starts, follow the offer, and can be sent again.
-constexpr std::uint64_t RideBytes = std::uint64_t{ 64 } << 10U;
+constexpr std::uint64_t RideBytes = std::uint64_t{64} << 10U;
 
 // A random number for trace ids.
 std::uint64_t drawBits()
 {
-    thread_local std::mt19937_64 engine{ std::random_device{}() };
+    thread_local std::mt19937_64 engine{std::random_device{}()};
     return engine();
 }
 
@@ -222,7 +222,7 @@
     const std::size_t got = stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, problem);
     const bool gone = problem ? problem != asio::error::would_block : got == 0;
     if (gone) {
-        engine_.post(CallerGone{ request->handle() });
+        engine_.post(CallerGone{request->handle()});
         request->finish(std::nullopt, true);
     }
 }
--- a/src/net/datagram_port.cpp
+++ b/src/net/datagram_port.cpp
@@ -43,7 +43,7 @@
             continue;
         }
         try {
-            engine_.post(DatagramArrived{ fromEndpoint(from), decodeDatagram({ buffer.data(), size }) });
+            engine_.post(DatagramArrived{fromEndpoint(from), decodeDatagram({buffer.data(), size})});
         } catch (const Error &) {
             ++engine_.counters().badMessages_;
         }
--- a/src/net/exchange_client.cpp
+++ b/src/net/exchange_client.cpp
@@ -14,7 +14,7 @@
 // Idle connections kept for each peer.
 constexpr std::size_t MaxIdle = 32;
 // Answers up to this size are held back until they are whole, so that a broken one can be tried again.
-constexpr std::size_t HoldBytes = std::size_t{ 64 } << 10U;
+constexpr std::size_t HoldBytes = std::size_t{64} << 10U;
 // A dropped exchange waits so long for its withdrawal's confirmation before the connection is closed.
 constexpr std::chrono::milliseconds DropGrace(1000);
 
@@ -52,7 +52,7 @@
         return;
     }
     const ExchangePtr &exchange = found->second;
-    exchange->connection_->send(Go{ attempt.packed() });
+    exchange->connection_->send(Go{attempt.packed()});
     if (!exchange->bodySent_) {
         asio::co_spawn(engine_.context(), sendBody(exchange), asio::detached);
     }
@@ -66,7 +66,7 @@
     }
     found->second->withdrawn_ = true;
     if (found->second->connection_) {
-        found->second->connection_->send(Withdraw{ attempt.packed() });
+        found->second->connection_->send(Withdraw{attempt.packed()});
     }
 }
 
@@ -128,7 +128,7 @@
             release(effect.peer_, connection);
         }
         if (!exchange->dropped_) {
-            engine_.post(ExchangeLost{ effect.attempt_, true });
+            engine_.post(ExchangeLost{effect.attempt_, true});
         }
         co_return;
     }
@@ -192,7 +192,7 @@
         }
         if (!frame) {
             if (!exchange->dropped_) {
-                engine_.post(ExchangeLost{ exchange->attempt_, false });
+                engine_.post(ExchangeLost{exchange->attempt_, false});
             }
             co_return false;
         }
@@ -208,15 +208,15 @@
 {
     const AttemptId attempt = exchange->attempt_;
     if (const auto *reply = std::get_if<OfferReply>(&frame)) {
-        engine_.post(OfferReplied{ attempt, *reply });
+        engine_.post(OfferReplied{attempt, *reply});
         co_return reply->verdict_ == Verdict::Refused;
     }
     if (const auto *withdrawn = std::get_if<Withdrawn>(&frame)) {
-        engine_.post(WithdrawReplied{ attempt, withdrawn->handedOver_ });
+        engine_.post(WithdrawReplied{attempt, withdrawn->handedOver_});
         co_return !withdrawn->handedOver_;
     }
     if (const auto *failed = std::get_if<Failed>(&frame)) {
-        engine_.post(AttemptFailed{ attempt, static_cast<ResultCode>(failed->code_), failed->report_ });
+        engine_.post(AttemptFailed{attempt, static_cast<ResultCode>(failed->code_), failed->report_});
         co_return true;
     }
     if (auto *head = std::get_if<AnswerHead>(&frame)) {
@@ -249,7 +249,7 @@
     }
     const auto request = callers_.find(exchange->call_);
     if (!request || !co_await request->writeChunk(chunk.bytes_)) {
-        engine_.post(CallerGone{ exchange->call_ });
+        engine_.post(CallerGone{exchange->call_});
         callers_.cut(exchange->call_);
         exchange->connection_->close();
     }
@@ -272,13 +272,13 @@
         const bool written = co_await request->writeEnd();
         request->finish(std::nullopt, !written);
     }
-    engine_.post(AnswerCompleted{ exchange->attempt_, end.report_ });
+    engine_.post(AnswerCompleted{exchange->attempt_, end.report_});
     co_return true;
 }
 
 Task<bool> ExchangeClient::beginRelay(ExchangePtr exchange)
 {
-    engine_.post(AnswerStarted{ exchange->attempt_ });
+    engine_.post(AnswerStarted{exchange->attempt_});
     // The tick that takes the event decides before this coroutine goes on, since both run on one thread in order.
     co_await asio::post(engine_.context(), asio::use_awaitable);
     const auto request = callers_.find(exchange->call_);
@@ -289,7 +289,7 @@
     const std::string held = std::exchange(exchange->answerBody_, std::string());
     const bool written = co_await request->writeHead(exchange->answerHead_) && co_await request->writeChunk(held);
     if (!written) {
-        engine_.post(CallerGone{ exchange->call_ });
+        engine_.post(CallerGone{exchange->call_});
         request->finish(std::nullopt, true);
     }
     co_return written;
@@ -312,7 +312,7 @@
         std::optional<std::string> part = co_await request->readChunk();
         if (!part) {
             // The caller's body broke: without its end the inbound side cannot take it for whole.
-            engine_.post(CallerGone{ exchange->call_ });
+            engine_.post(CallerGone{exchange->call_});
             callers_.cut(exchange->call_);
             connection->close();
             co_return;
@@ -321,18 +321,18 @@
             break;
         }
         sent += part->size();
-        connection->send(BodyChunk{ exchange->attempt_.packed(), std::move(*part) });
+        connection->send(BodyChunk{exchange->attempt_.packed(), std::move(*part)});
         co_await connection->drained();
         if (exchange->dropped_ || !connection->isOpen()) {
             co_return;
         }
     }
-    connection->send(BodyEnd{ exchange->attempt_.packed(), sent });
+    connection->send(BodyEnd{exchange->attempt_.packed(), sent});
 }
 
 Task<> ExchangeClient::runPull(SendTicketPull effect)
 {
-    TicketBatchArrived event{ effect.to_, false, {} };
+    TicketBatchArrived event{effect.to_, false, {}};
     const auto connection = co_await connect(effect.to_);
     if (connection) {
         connection->send(effect.pull_);
--- a/src/net/exchange_server.cpp
+++ b/src/net/exchange_server.cpp
@@ -90,7 +90,7 @@
 {
     const ExchangePtr exchange = find(effect.exchange_);
     if (exchange) {
-        exchange->connection_->send(AnswerEnd{ exchange->offer_.attempt_, exchange->request_->answerBytes_, effect.report_ });
+        exchange->connection_->send(AnswerEnd{exchange->offer_.attempt_, exchange->request_->answerBytes_, effect.report_});
         close(*exchange);
     }
 }
@@ -152,7 +152,7 @@
     connection->close();
     if (current && !current->ended_) {
         current->request_->body_->end(false);
-        engine_.post(PeerGone{ current->handle_ });
+        engine_.post(PeerGone{current->handle_});
     }
     connections_.erase(connection);
 }
@@ -175,11 +175,11 @@
             throw Error(ResultCode::MessageMalformed, "an offer within an exchange");
         }
         current = open(connection, *offer);
-        engine_.post(OfferArrived{ current->handle_, *offer });
+        engine_.post(OfferArrived{current->handle_, *offer});
     } else if (const auto *pull = std::get_if<TicketPull>(&frame)) {
         connection->send(objectsAfter(engine_.world(), pull->after_));
     } else if (const auto *batch = std::get_if<TicketBatch>(&frame)) {
-        engine_.post(TicketBatchArrived{ connection->remote(), true, *batch });
+        engine_.post(TicketBatchArrived{connection->remote(), true, *batch});
     } else if (auto *head = ofExchange<RequestHead>(frame, current)) {
         current->request_->head_ = std::move(*head);
         tellBody(*current);
@@ -189,9 +189,9 @@
         current->request_->body_->end(end->bodyBytes_ == current->request_->body_->total());
         tellBody(*current);
     } else if (ofExchange<Go>(frame, current) != nullptr) {
-        engine_.post(GoArrived{ current->handle_ });
+        engine_.post(GoArrived{current->handle_});
     } else if (ofExchange<Withdraw>(frame, current) != nullptr) {
-        engine_.post(WithdrawArrived{ current->handle_ });
+        engine_.post(WithdrawArrived{current->handle_});
     } else if (!mayBeLate(frame)) {
         throw Error(ResultCode::MessageMalformed, "a frame that no inbound side takes");
     }
@@ -224,7 +224,7 @@
     if (heldBytes_ + size > limits_.maxHeldBytes_) {
         // Without its whole body the request is never handed over.
         exchange->request_->body_->end(false);
-        engine_.post(WithdrawArrived{ exchange->handle_ });
+        engine_.post(WithdrawArrived{exchange->handle_});
         co_return;
     }
     heldBytes_ += size;
@@ -238,7 +238,7 @@
     const bool bodyHere = !exchange.offer_.wholeBodyFirst_ || exchange.request_->body_->isWhole();
     if (!exchange.bodyTold_ && headHere && bodyHere) {
         exchange.bodyTold_ = true;
-        engine_.post(BodyArrived{ exchange.handle_ });
+        engine_.post(BodyArrived{exchange.handle_});
     }
 }
 
--- a/src/net/exchange_server.h
+++ b/src/net/exchange_server.h
@@ -15,7 +15,7 @@
 struct ExchangeLimits {
     std::size_t maxConnections_ = 8192;
     // Bytes of bodies that are held whole at a time.
-    std::uint64_t maxHeldBytes_ = std::uint64_t{ 24 } << 20U;
+    std::uint64_t maxHeldBytes_ = std::uint64_t{24} << 20U;
 };
 
 // One exchange at the inbound side.
--- a/src/net/failure_response.cpp
+++ b/src/net/failure_response.cpp
@@ -18,9 +18,7 @@
     if (!trace.empty()) {
         response.set("Radishford-Trace", trace);
     }
-    const json::object body{
-        { "code", numberOf(code) }, { "result", info.name_ }, { "outcome", toText(info.outcome_) }, { "text", info.text_ }, { "trace", trace }
-    };
+    const json::object body{{"code", numberOf(code)}, {"result", info.name_}, {"outcome", toText(info.outcome_)}, {"text", info.text_}, {"trace", trace}};
     response.body() = json::serialize(body) + "\n";
     response.keep_alive(keepAlive);
     response.prepare_payload();
--- a/src/net/frame_connection.cpp
+++ b/src/net/frame_connection.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 // Senders of bodies wait while more than this is queued.
-constexpr std::size_t DrainedBytes = std::size_t{ 256 } << 10U;
+constexpr std::size_t DrainedBytes = std::size_t{256} << 10U;
 // A frame must arrive whole within this time from its first bytes.
 constexpr std::chrono::seconds StallLimit(5);
 
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -10,8 +10,8 @@
 
 constexpr unsigned HttpVersion = 11;
 constexpr std::uint32_t MaxHeaderBytes = 16384;
-constexpr std::uint64_t MaxBodyBytes = std::uint64_t{ 1 } << 20U;
-constexpr std::uint64_t MaxAnswerBytes = std::uint64_t{ 64 } << 20U;
+constexpr std::uint64_t MaxBodyBytes = std::uint64_t{1} << 20U;
+constexpr std::uint64_t MaxAnswerBytes = std::uint64_t{64} << 20U;
 constexpr std::size_t MaxConnections = 256;
 // A request must arrive whole within this time.
 constexpr std::chrono::seconds ReadTimeout(10);
--- a/src/net/http_fields.h
+++ b/src/net/http_fields.h
@@ -26,7 +26,7 @@
         case http::field::content_length:
             break;
         default:
-            fields.push_back(HeaderField{ std::string(field.name_string()), std::string(field.value()) });
+            fields.push_back(HeaderField{std::string(field.name_string()), std::string(field.value())});
         }
     }
     return fields;
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -44,7 +44,7 @@
 template<typename Endpoint>
 Address fromEndpoint(const Endpoint &endpoint)
 {
-    return Address{ endpoint.address().to_v4().to_uint(), endpoint.port() };
+    return Address{endpoint.address().to_v4().to_uint(), endpoint.port()};
 }
 
 // A span as Asio's timers take it.
--- a/src/net/span_ring.cpp
+++ b/src/net/span_ring.cpp
@@ -18,7 +18,7 @@
 // An attribute as OTLP writes it.
 json::value attribute(const char *key, const std::string &value)
 {
-    return json::object{ { "key", key }, { "value", json::object{ { "stringValue", value } } } };
+    return json::object{{"key", key}, {"value", json::object{{"stringValue", value}}}};
 }
 
 // Nanoseconds since the Unix epoch of a moment of the process's clock.
@@ -36,14 +36,14 @@
 {
     const ResultCodeInfo &info = infoOf(span.code_);
     json::object result{
-        { "traceId", span.trace_.value() },
-        { "spanId", toHex(span.span_.value()) },
-        { "name", span.name_ },
-        { "startTimeUnixNano", unixNanos(span.start_) },
-        { "endTimeUnixNano", unixNanos(span.end_) },
-        { "attributes",
-          json::array{ attribute("detail", span.detail_), attribute("code", std::to_string(numberOf(span.code_))), attribute("result", std::string(info.name_)),
-                       attribute("outcome", std::string(toText(info.outcome_))) } },
+        {"traceId", span.trace_.value()},
+        {"spanId", toHex(span.span_.value())},
+        {"name", span.name_},
+        {"startTimeUnixNano", unixNanos(span.start_)},
+        {"endTimeUnixNano", unixNanos(span.end_)},
+        {"attributes",
+         json::array{attribute("detail", span.detail_), attribute("code", std::to_string(numberOf(span.code_))), attribute("result", std::string(info.name_)),
+                     attribute("outcome", std::string(toText(info.outcome_)))}},
     };
     if (span.parent_.value() != 0) {
         result["parentSpanId"] = toHex(span.parent_.value());
@@ -69,10 +69,10 @@
             spans.push_back(toJson(span));
         }
     }
-    const json::object resource{ { "attributes", json::array{ attribute("service.name", "radishfordd"), attribute("service.instance.id", instance) } } };
-    const json::object scope{ { "scope", json::object{ { "name", "radishford" } } }, { "spans", spans } };
-    const json::object entry{ { "resource", resource }, { "scopeSpans", json::array{ scope } } };
-    return json::serialize(json::object{ { "resourceSpans", json::array{ entry } } });
+    const json::object resource{{"attributes", json::array{attribute("service.name", "radishfordd"), attribute("service.instance.id", instance)}}};
+    const json::object scope{{"scope", json::object{{"name", "radishford"}}}, {"spans", spans}};
+    const json::object entry{{"resource", resource}, {"scopeSpans", json::array{scope}}};
+    return json::serialize(json::object{{"resourceSpans", json::array{entry}}});
 }
 
 std::string toHex(std::uint64_t value)
--- a/src/net/store_client.cpp
+++ b/src/net/store_client.cpp
@@ -29,7 +29,7 @@
 {
     const TextRequest request = makeRequest(http::verb::post, "/table/transact", storeRequestText(effect.operation_));
     const std::optional<TextResponse> response = co_await askHttp(engine_.context(), address_, request, StoreTimeout);
-    StoreAnswered event{ effect.request_, {} };
+    StoreAnswered event{effect.request_, {}};
     if (response && response->result() == http::status::ok) {
         try {
             event.answer_ = parseStoreAnswer(effect.operation_, response->body());
--- a/src/store/claim_system.cpp
+++ b/src/store/claim_system.cpp
@@ -16,9 +16,9 @@
 // A claim is sent again once when its answer is lost: the row then tells whether the first one took effect.
 constexpr std::int32_t MaxSends = 2;
 // After a lost answer, claims fail at once for this long.
-constexpr Millis ClosedSpan{ 1000 };
+constexpr Millis ClosedSpan{1000};
 // This daemon's part of the fleet's writes is worked out this often.
-constexpr Millis ShareInterval{ 1000 };
+constexpr Millis ShareInterval{1000};
 // Writes that a daemon may send at once after a pause.
 constexpr double WriteBurst = 2.0;
 // Releases kept while the store is down; the oldest is dropped, and its key stays claimed.
@@ -40,7 +40,7 @@
 // The row that an admission writes.
 ClaimInsert insertFor(const World &world, AdmissionId id, const Offer &offer)
 {
-    return ClaimInsert{ rowKey(offer), ClaimValue{ offer.callToken_, ownerOf(world, id), offer.fingerprint_ } };
+    return ClaimInsert{rowKey(offer), ClaimValue{offer.callToken_, ownerOf(world, id), offer.fingerprint_}};
 }
 
 // The admission of a claim, if it still waits for it.
@@ -66,7 +66,7 @@
     const std::uint64_t number = ++world.claims_.lastRequest_;
     world.counters_.add(Counter::StoreRequests);
     world.claims_.requests_.emplace(number, std::move(request));
-    world.emit(SendStore{ number, std::move(operation) });
+    world.emit(SendStore{number, std::move(operation)});
 }
 
 // Judges the row found in place of a claim.
@@ -166,7 +166,7 @@
         operation.claims_.push_back(claim.insert_);
         world.counters_.add(Counter::ClaimsSent);
     }
-    send(world, operation, ClaimRequest{ std::move(batch), false, false });
+    send(world, operation, ClaimRequest{std::move(batch), false, false});
 }
 
 // Sends one take-over.
@@ -179,7 +179,7 @@
         return;
     }
     row->maybeClaimed_ = true;
-    send(world, ClaimReplace{ claim.insert_.key_, current, claim.insert_.value_ }, ClaimRequest{ { claim }, true, false });
+    send(world, ClaimReplace{claim.insert_.key_, current, claim.insert_.value_}, ClaimRequest{{claim}, true, false});
 }
 
 // Sends one release.
@@ -189,7 +189,7 @@
     world.claims_.releases_.pop_front();
     PendingClaim claim;
     claim.insert_ = insert;
-    send(world, ClaimDelete{ insert.key_, insert.value_ }, ClaimRequest{ { claim }, false, true });
+    send(world, ClaimDelete{insert.key_, insert.value_}, ClaimRequest{{claim}, false, true});
 }
 
 // Works out this daemon's part of the fleet's writes.
--- a/src/store/store_type.h
+++ b/src/store/store_type.h
@@ -56,8 +56,13 @@
     TicketNumber from_;
 };
 
+// Asks within a writing transaction whether a ticket exists, since plain reads may be stale. Changes nothing.
+struct TicketVerify {
+    TicketNumber number_;
+};
+
 // Any request.
-using StoreOperation = std::variant<ClaimInsertBatch, ClaimReplace, ClaimDelete, TicketInsert, TicketRead>;
+using StoreOperation = std::variant<ClaimInsertBatch, ClaimReplace, ClaimDelete, TicketInsert, TicketRead, TicketVerify>;
 
 // Row found in place of the one to be written.
 struct ClaimResult {
--- a/src/table/systems.h
+++ b/src/table/systems.h
@@ -29,17 +29,17 @@
 
 // All systems. Adding one is one line here.
 inline constexpr std::array Systems{
-    SystemEntry{ "receive", runReceive, nullptr },
-    SystemEntry{ "expire", runExpire, nullptr },
-    SystemEntry{ "membership", runMembership, nextMembership },
-    SystemEntry{ "ticket", runTickets, nextTickets },
-    SystemEntry{ "suspect", runSuspects, nextSuspects },
-    SystemEntry{ "claim", runClaims, nextClaims },
-    SystemEntry{ "admit", runAdmit, nextAdmit },
-    SystemEntry{ "route", runRoute, nullptr },
-    SystemEntry{ "probe", runProbe, nextProbe },
-    SystemEntry{ "shutdown", runShutdown, nextShutdown },
-    SystemEntry{ "budget", runBudget, nullptr },
+    SystemEntry{"receive", runReceive, nullptr},
+    SystemEntry{"expire", runExpire, nullptr},
+    SystemEntry{"membership", runMembership, nextMembership},
+    SystemEntry{"ticket", runTickets, nextTickets},
+    SystemEntry{"suspect", runSuspects, nextSuspects},
+    SystemEntry{"claim", runClaims, nextClaims},
+    SystemEntry{"admit", runAdmit, nextAdmit},
+    SystemEntry{"route", runRoute, nullptr},
+    SystemEntry{"probe", runProbe, nextProbe},
+    SystemEntry{"shutdown", runShutdown, nextShutdown},
+    SystemEntry{"budget", runBudget, nullptr},
 };
 
 } // namespace radishford
--- a/src/ticket/ticket_cmd.cpp
+++ b/src/ticket/ticket_cmd.cpp
@@ -15,7 +15,7 @@
 // Key of an object.
 ObjectKey keyOf(const TicketObject &object)
 {
-    return ObjectKey{ object.spec_.index(), object.name_ };
+    return ObjectKey{object.spec_.index(), object.name_};
 }
 
 // What follows from a changed service: nothing, since calls look it up.
@@ -47,7 +47,7 @@
 template<typename Spec, std::size_t Index>
 const Spec *findAt(const TicketTable &tickets, const std::string &name)
 {
-    const auto found = tickets.objects_.find(ObjectKey{ Index, name });
+    const auto found = tickets.objects_.find(ObjectKey{Index, name});
     return found == tickets.objects_.end() ? nullptr : &std::get<Index>(found->second.spec_);
 }
 
--- a/src/ticket/ticket_system.cpp
+++ b/src/ticket/ticket_system.cpp
@@ -11,26 +11,22 @@
 namespace {
 
 // A pull from a peer that has not ended by then is given up.
-constexpr Millis PullTimeout{ 1000 };
+constexpr Millis PullTimeout{1000};
 // A joining daemon reads the store this often until it answers.
-constexpr Millis JoinReadInterval{ 1000 };
+constexpr Millis JoinReadInterval{1000};
 // Shortest time between a daemon's reads once it serves.
-constexpr Millis MinReadInterval{ 1000 };
-// Without any other daemon heard for this long, the store alone is trusted by a joining daemon.
-constexpr Millis AloneAfter{ 3000 };
+constexpr Millis MinReadInterval{1000};
 // A submission without an answer from the store is given up as unknown after this time.
-constexpr Millis SubmitTimeout{ 8000 };
+constexpr Millis SubmitTimeout{8000};
 // Time between tries of a submission.
-constexpr Millis SubmitRetry{ 300 };
-// Failure domains in which current daemons must confirm a joining one when the store does not answer.
-constexpr std::size_t JoinQuorum = 2;
+constexpr Millis SubmitRetry{300};
 
 // Sends a request about tickets to the store.
 std::uint64_t askStore(World &world, StoreOperation operation)
 {
     const std::uint64_t request = ++world.claims_.lastRequest_;
     world.counters_.add(Counter::StoreRequests);
-    world.emit(SendStore{ request, std::move(operation) });
+    world.emit(SendStore{request, std::move(operation)});
     return request;
 }
 
@@ -50,7 +46,7 @@
     }
     world.tickets_.highest_ = number;
     world.tickets_.heard_ = std::max(world.tickets_.heard_, number);
-    world.emit(LogChange{ "ticket " + std::to_string(number.value()) + " in force" });
+    world.emit(LogChange{"ticket " + std::to_string(number.value()) + " in force"});
 }
 
 // Applies tickets that follow the highest one without a gap; a stale answer of the store changes nothing.
@@ -76,14 +72,14 @@
             continue;
         }
         const Instance &peer = *world.fleet_.rows_.get(running[world.random_.below(running.size())]);
-        world.emit(SendTicketBatch{ peer.record_.address_, peer.region_, batch });
+        world.emit(SendTicketBatch{peer.record_.address_, peer.region_, batch});
     }
 }
 
 // Ends a submission with a result for the operator.
 void endSubmission(World &world, const Submission &submission, ResultCode code, const std::vector<Ticket> &holder)
 {
-    world.emit(ReplyTicket{ submission.handle_, code, world.tickets_.highest_, holder });
+    world.emit(ReplyTicket{submission.handle_, code, world.tickets_.highest_, holder});
 }
 
 // The store has taken a ticket: it is in force from here on.
@@ -124,7 +120,7 @@
     auto &submissions = world.tickets_.submissions_;
     for (Submission &submission : submissions) {
         if (submission.request_ == 0 && world.now_ >= submission.nextTryAt_ && world.now_ < submission.giveUpAt_) {
-            submission.request_ = askStore(world, TicketInsert{ submission.ticket_ });
+            submission.request_ = askStore(world, TicketInsert{submission.ticket_});
         }
     }
     std::erase_if(submissions, [&](const Submission &submission) {
@@ -139,7 +135,7 @@
 // Time between this daemon's reads, so that the whole fleet keeps to its rate.
 Millis readInterval(World &world)
 {
-    if (!world.tickets_.storeRead_) {
+    if (!world.tickets_.current_) {
         return JoinReadInterval;
     }
     constexpr double MillisPerSecond = 1000.0;
@@ -157,7 +153,7 @@
     if (tickets.readRequest_ != 0 || world.now_ < tickets.nextReadAt_) {
         return;
     }
-    tickets.readRequest_ = askStore(world, TicketRead{ TicketNumber(tickets.highest_.value() + 1) });
+    tickets.readRequest_ = askStore(world, TicketRead{TicketNumber(tickets.highest_.value() + 1)});
 }
 
 // Starts a pull from a peer that has a higher ticket.
@@ -172,7 +168,7 @@
         return;
     }
     tickets.pullUntil_ = world.now_ + PullTimeout;
-    world.emit(SendTicketPull{ tickets.pullFrom_, regionOf(world, tickets.pullFrom_), TicketPull{ tickets.highest_ } });
+    world.emit(SendTicketPull{tickets.pullFrom_, regionOf(world, tickets.pullFrom_), TicketPull{tickets.highest_}});
 }
 
 // True when a joining daemon has heard enough to know that its configuration is not an old one.
@@ -182,19 +178,15 @@
     if (tickets.heard_ > tickets.highest_) {
         return false;
     }
-    const std::size_t quorum = std::min(JoinQuorum, world.settings_.places_.size());
-    if (tickets.currentDomains_.size() >= quorum) {
-        return true;
-    }
-    const bool alone = world.now_ - tickets.joinedAt_ >= AloneAfter;
-    return tickets.storeRead_ && (tickets.peerHeard_ || alone);
+    // Without the store, current daemons in most failure domains must have been heard: any later ticket was pushed to all.
+    const std::size_t quorum = world.settings_.places_.size() / 2 + 1;
+    return tickets.verified_ || tickets.currentDomains_.size() >= quorum;
 }
 
 } // namespace
 
 void startTickets(World &world)
 {
-    world.tickets_.joinedAt_ = world.now_;
     world.tickets_.nextReadAt_ = world.now_;
 }
 
@@ -205,7 +197,6 @@
     if (row == nullptr) {
         return;
     }
-    tickets.peerHeard_ = true;
     if (header.current_) {
         tickets.currentDomains_.insert(row->record_.failureDomain_);
     }
@@ -242,7 +233,7 @@
 {
     const ResultCode code = testTicket(world, event.ticket_);
     if (code != ResultCode::Ok && code != ResultCode::TicketConflict) {
-        world.emit(ReplyTicket{ event.handle_, code, world.tickets_.highest_, {} });
+        world.emit(ReplyTicket{event.handle_, code, world.tickets_.highest_, {}});
         return;
     }
     // A number that is taken is asked for all the same: the store names its holder, which may be this very submission.
@@ -258,15 +249,21 @@
     TicketTable &tickets = world.tickets_;
     if (request == tickets.readRequest_) {
         tickets.readRequest_ = 0;
-        if (answer.ok_) {
-            tickets.storeRead_ = true;
-            applyInOrder(world, answer.tickets_);
-        } else {
+        applyInOrder(world, answer.tickets_);
+        if (!answer.ok_) {
             world.counters_.add(Counter::StoreFailures);
+        } else if (!tickets.current_) {
+            tickets.verifyRequest_ = askStore(world, TicketVerify{TicketNumber(tickets.highest_.value() + 1)});
         }
         tickets.nextReadAt_ = world.now_ + readInterval(world);
         return true;
     }
+    if (request == tickets.verifyRequest_) {
+        tickets.verifyRequest_ = 0;
+        tickets.verified_ = answer.ok_ && answer.tickets_.empty();
+        applyInOrder(world, answer.tickets_);
+        return true;
+    }
     const auto found
         = std::find_if(tickets.submissions_.begin(), tickets.submissions_.end(), [&](const Submission &submission) { return submission.request_ == request; });
     if (found == tickets.submissions_.end()) {
@@ -285,7 +282,7 @@
     runSubmissions(world);
     if (!world.tickets_.current_ && mayServe(world)) {
         world.tickets_.current_ = true;
-        world.emit(LogChange{ "configuration is current: serving" });
+        world.emit(LogChange{"configuration is current: serving"});
     }
 }
 
@@ -296,9 +293,6 @@
     if (tickets.heard_ > tickets.highest_ && tickets.pullUntil_ != Millis::never()) {
         next = std::min(next, tickets.pullUntil_);
     }
-    if (!tickets.current_ && world.now_ < tickets.joinedAt_ + AloneAfter) {
-        next = std::min(next, tickets.joinedAt_ + AloneAfter);
-    }
     for (const Submission &submission : tickets.submissions_) {
         next = std::min(next, submission.request_ == 0 ? submission.nextTryAt_ : submission.giveUpAt_);
     }
--- a/src/ticket/ticket_table.h
+++ b/src/ticket/ticket_table.h
@@ -41,14 +41,12 @@
     TicketNumber heard_;
     // True once this daemon knows that highest_ is current enough to serve by.
     bool current_ = false;
-    // When the daemon started to join.
-    Millis joinedAt_;
     // Failure domains in which a daemon with current configuration answered.
     std::set<std::string> currentDomains_;
-    // True once any daemon answered.
-    bool peerHeard_ = false;
-    // True once the store answered a read whole.
-    bool storeRead_ = false;
+    // True once the store has confirmed in a transaction that no ticket follows the highest one.
+    bool verified_ = false;
+    // Running confirmation, or zero.
+    std::uint64_t verifyRequest_ = 0;
     // Running pull from a peer: when it is given up; never() when none.
     Millis pullUntil_ = Millis::never();
     // Who has a higher ticket, and where it is.
--- a/src/ticket/ticket_type.h
+++ b/src/ticket/ticket_type.h
@@ -24,7 +24,7 @@
     // True when callers must send an Idempotency-Key header.
     bool keyRequired_ = false;
     // Part of a backend server's slots that the class may hold.
-    Permille slotShare_{ 1000 };
+    Permille slotShare_{1000};
     // Requests of the class that may wait at one backend server.
     Slots queue_;
     // Time for a call when the caller names none.
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -11,7 +11,7 @@
 namespace radishford {
 
 // Largest encoded frame without its length.
-constexpr std::size_t MaxFrameBytes = std::size_t{ 4 } << 20U;
+constexpr std::size_t MaxFrameBytes = std::size_t{4} << 20U;
 // Largest encoded datagram.
 constexpr std::size_t MaxDatagramBytes = 1400;
 // Bytes of a frame's length.
--- a/src/wire/json_reader.cpp
+++ b/src/wire/json_reader.cpp
@@ -90,7 +90,7 @@
     if (!found->is_array()) {
         throw Error(ResultCode::WrongType, pathOf(key) + " (a list is expected)");
     }
-    return { found->get_array().begin(), found->get_array().end() };
+    return {found->get_array().begin(), found->get_array().end()};
 }
 
 const json::value &JsonReader::value(const char *key)
--- a/src/wire/store_json.cpp
+++ b/src/wire/store_json.cpp
@@ -22,7 +22,7 @@
 // Text of a claim row.
 std::string claimText(const ClaimValue &value)
 {
-    const json::object object{ { "call", value.callToken_ }, { "owner", value.owner_ }, { "fingerprint", std::to_string(value.fingerprint_.value()) } };
+    const json::object object{{"call", value.callToken_}, {"owner", value.owner_}, {"fingerprint", std::to_string(value.fingerprint_.value())}};
     return json::serialize(object);
 }
 
@@ -43,33 +43,37 @@
 {
     json::array steps;
     for (const ClaimInsert &claim : operation.claims_) {
-        steps.push_back(json::object{ { "op", "insert" }, { "key", ClaimPrefix + claim.key_ }, { "value", claimText(claim.value_) } });
+        steps.push_back(json::object{{"op", "insert"}, {"key", ClaimPrefix + claim.key_}, {"value", claimText(claim.value_)}});
     }
     return steps;
 }
 
 json::array stepsOf(const ClaimReplace &operation)
 {
-    return { json::object{ { "op", "replace" },
-                           { "key", ClaimPrefix + operation.key_ },
-                           { "expected", claimText(operation.expected_) },
-                           { "value", claimText(operation.value_) } } };
+    return {json::object{
+        {"op", "replace"}, {"key", ClaimPrefix + operation.key_}, {"expected", claimText(operation.expected_)}, {"value", claimText(operation.value_)}}};
 }
 
 json::array stepsOf(const ClaimDelete &operation)
 {
-    return { json::object{ { "op", "delete" }, { "key", ClaimPrefix + operation.key_ }, { "expected", claimText(operation.expected_) } } };
+    return {json::object{{"op", "delete"}, {"key", ClaimPrefix + operation.key_}, {"expected", claimText(operation.expected_)}}};
 }
 
 json::array stepsOf(const TicketInsert &operation)
 {
     const std::string value = json::serialize(toJson(operation.ticket_));
-    return { json::object{ { "op", "insert" }, { "key", ticketRowKey(operation.ticket_.number_) }, { "value", value } } };
+    return {json::object{{"op", "insert"}, {"key", ticketRowKey(operation.ticket_.number_)}, {"value", value}}};
 }
 
 json::array stepsOf(const TicketRead &operation)
 {
-    return { json::object{ { "op", "scan" }, { "prefix", TicketPrefix }, { "from", ticketRowKey(operation.from_) }, { "limit", ReadLimit } } };
+    return {json::object{{"op", "scan"}, {"prefix", TicketPrefix}, {"from", ticketRowKey(operation.from_)}, {"limit", ReadLimit}}};
+}
+
+// Deletes a row only if it has a value that no ticket has: the answer shows the row, and nothing changes.
+json::array stepsOf(const TicketVerify &operation)
+{
+    return {json::object{{"op", "delete"}, {"key", ticketRowKey(operation.number_)}, {"expected", ""}}};
 }
 
 // Reads one result of a claim's step.
@@ -125,6 +129,11 @@
     return answer;
 }
 
+StoreAnswer answerOf(const TicketVerify & /*operation*/, const std::vector<json::value> &results)
+{
+    return answerOf(TicketInsert{}, results);
+}
+
 StoreAnswer answerOf(const TicketRead & /*operation*/, const std::vector<json::value> &results)
 {
     StoreAnswer answer;
@@ -143,7 +152,7 @@
 std::string storeRequestText(const StoreOperation &operation)
 {
     const json::array steps = std::visit([](const auto &body) { return stepsOf(body); }, operation);
-    return json::serialize(json::object{ { "steps", steps } });
+    return json::serialize(json::object{{"steps", steps}});
 }
 
 StoreAnswer parseStoreAnswer(const StoreOperation &operation, const std::string &text)
--- a/src/wire/ticket_json.cpp
+++ b/src/wire/ticket_json.cpp
@@ -18,9 +18,9 @@
 
 constexpr std::int64_t MaxTicket = std::numeric_limits<std::int64_t>::max();
 constexpr std::int64_t MaxDeadlineMs = 86400000;
-constexpr std::int64_t MaxBodyBytes = std::int64_t{ 1 } << 40;
+constexpr std::int64_t MaxBodyBytes = std::int64_t{1} << 40;
 constexpr std::int64_t MaxQueue = 100000;
-constexpr std::int64_t MaxBytesPerSecond = std::int64_t{ 1 } << 40;
+constexpr std::int64_t MaxBytesPerSecond = std::int64_t{1} << 40;
 constexpr std::int64_t MaxProbesPerSecond = 1000000;
 constexpr std::int64_t MaxDaemons = 1000000;
 constexpr std::int64_t WholePermille = 1000;
@@ -32,7 +32,7 @@
 constexpr std::int64_t DefaultDrainTimeoutMs = 600000;
 constexpr std::int64_t DefaultQuarantineMs = 600000;
 // Largest body that is buffered whole.
-constexpr std::int64_t MaxBufferedBody = std::int64_t{ 16 } << 20;
+constexpr std::int64_t MaxBufferedBody = std::int64_t{16} << 20;
 
 // Reads one request class.
 RequestClass classFromJson(const json::value &value, const std::string &path)
@@ -112,29 +112,29 @@
 // Reads a drain.
 ObjectSpec drainFromJson(JsonReader &reader, const std::string & /*path*/)
 {
-    return DrainSpec{ reader.flag("draining", true) };
+    return DrainSpec{reader.flag("draining", true)};
 }
 
 // Reads an operator's word on a fingerprint.
 ObjectSpec quarantineFromJson(JsonReader &reader, const std::string & /*path*/)
 {
-    return QuarantineSpec{ reader.flag("quarantined", true) };
+    return QuarantineSpec{reader.flag("quarantined", true)};
 }
 
 // Writes one request class.
 json::value classToJson(const RequestClass &row)
 {
     return json::object{
-        { "name", row.name_.value() },
-        { "methods", json::array(row.methods_.begin(), row.methods_.end()) },
-        { "path_prefix", row.pathPrefix_ },
-        { "idempotent", row.idempotent_ },
-        { "key_required", row.keyRequired_ },
-        { "slot_share_permille", row.slotShare_.value() },
-        { "queue", row.queue_.value() },
-        { "deadline_ms", row.deadline_.count() },
-        { "max_body_bytes", row.maxBody_.value() },
-        { "streamed", row.streamed_ },
+        {"name", row.name_.value()},
+        {"methods", json::array(row.methods_.begin(), row.methods_.end())},
+        {"path_prefix", row.pathPrefix_},
+        {"idempotent", row.idempotent_},
+        {"key_required", row.keyRequired_},
+        {"slot_share_permille", row.slotShare_.value()},
+        {"queue", row.queue_.value()},
+        {"deadline_ms", row.deadline_.count()},
+        {"max_body_bytes", row.maxBody_.value()},
+        {"streamed", row.streamed_},
     };
 }
 
@@ -146,11 +146,11 @@
         classes.push_back(classToJson(row));
     }
     return json::object{
-        { "classes", classes },
-        { "retry_budget_permille", spec.retryBudget_.value() },
-        { "cold_start_ms", spec.coldStart_.count() },
-        { "drain_timeout_ms", spec.drainTimeout_.count() },
-        { "quarantine_ms", spec.quarantine_.count() },
+        {"classes", classes},
+        {"retry_budget_permille", spec.retryBudget_.value()},
+        {"cold_start_ms", spec.coldStart_.count()},
+        {"drain_timeout_ms", spec.drainTimeout_.count()},
+        {"quarantine_ms", spec.quarantine_.count()},
     };
 }
 
@@ -160,26 +160,26 @@
     json::array pairs;
     for (const RegionPairBudget &pair : spec.regionPairs_) {
         pairs.push_back(json::object{
-            { "from", pair.from_ }, { "to", pair.to_ }, { "bytes_per_second", pair.bytesPerSecond_.value() }, { "probes_per_second", pair.probesPerSecond_ } });
+            {"from", pair.from_}, {"to", pair.to_}, {"bytes_per_second", pair.bytesPerSecond_.value()}, {"probes_per_second", pair.probesPerSecond_}});
     }
     return json::object{
-        { "bytes_per_second", spec.bytesPerSecond_.value() },
-        { "probes_per_second", spec.probesPerSecond_ },
-        { "daemons_per_region", spec.daemonsPerRegion_ },
-        { "region_pairs", pairs },
+        {"bytes_per_second", spec.bytesPerSecond_.value()},
+        {"probes_per_second", spec.probesPerSecond_},
+        {"daemons_per_region", spec.daemonsPerRegion_},
+        {"region_pairs", pairs},
     };
 }
 
 // Writes a drain.
 json::object specToJson(const DrainSpec &spec)
 {
-    return json::object{ { "draining", spec.draining_ } };
+    return json::object{{"draining", spec.draining_}};
 }
 
 // Writes an operator's word on a fingerprint.
 json::object specToJson(const QuarantineSpec &spec)
 {
-    return json::object{ { "quarantined", spec.quarantined_ } };
+    return json::object{{"quarantined", spec.quarantined_}};
 }
 
 // How one kind of object is read.
@@ -189,12 +189,12 @@
 };
 
 // By index of ObjectSpec.
-constexpr std::array<KindEntry, std::variant_size_v<ObjectSpec>> Kinds{ {
-    { "service", serviceFromJson },
-    { "budget", budgetFromJson },
-    { "drain", drainFromJson },
-    { "quarantine", quarantineFromJson },
-} };
+constexpr std::array<KindEntry, std::variant_size_v<ObjectSpec>> Kinds{{
+    {"service", serviceFromJson},
+    {"budget", budgetFromJson},
+    {"drain", drainFromJson},
+    {"quarantine", quarantineFromJson},
+}};
 
 // Reads an object of any kind.
 TicketObject objectFromJson(const json::value &value, const std::string &path, TicketNumber number)
@@ -255,7 +255,7 @@
 
 json::value toJson(const TicketObject &object)
 {
-    json::object result{ { "kind", kindName(object.spec_) }, { "name", object.name_ }, { "number", object.number_.value() } };
+    json::object result{{"kind", kindName(object.spec_)}, {"name", object.name_}, {"number", object.number_.value()}};
     const json::object spec = std::visit([](const auto &body) { return specToJson(body); }, object.spec_);
     result.insert(spec.begin(), spec.end());
     return result;
@@ -268,11 +268,7 @@
         objects.push_back(toJson(object));
     }
     return json::object{
-        { "number", ticket.number_.value() },
-        { "submission", ticket.submission_ },
-        { "author", ticket.author_ },
-        { "reason", ticket.reason_ },
-        { "objects", objects },
+        {"number", ticket.number_.value()}, {"submission", ticket.submission_}, {"author", ticket.author_}, {"reason", ticket.reason_}, {"objects", objects},
     };
 }
 
--- a/src/world/shutdown.cpp
+++ b/src/world/shutdown.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // Time for the fleet to hear that this daemon leaves.
-constexpr Millis LeaveNotice{ 500 };
+constexpr Millis LeaveNotice{500};
 
 } // namespace
 
@@ -21,7 +21,7 @@
         return;
     }
     world.leavingSince_ = world.now_;
-    world.emit(LogChange{ "shutdown asked: no new work" });
+    world.emit(LogChange{"shutdown asked: no new work"});
     publishSelf(world, Health::Alive);
     announceWidely(world);
 }
@@ -38,7 +38,7 @@
     publishSelf(world, Health::Left);
     announceWidely(world);
     world.exited_ = true;
-    world.emit(LogChange{ "nothing in flight: leaving" });
+    world.emit(LogChange{"nothing in flight: leaving"});
     world.emit(Exit{});
 }
 
--- a/src/world/system.cpp
+++ b/src/world/system.cpp
@@ -31,7 +31,7 @@
 template<std::size_t... Indexes>
 constexpr std::array<EventHandler, sizeof...(Indexes)> eventHandlers(std::index_sequence<Indexes...>)
 {
-    return { handleAt<Indexes>... };
+    return {handleAt<Indexes>...};
 }
 
 constexpr auto EventHandlers = eventHandlers(std::make_index_sequence<std::variant_size_v<Event>>());
--- a/src/world/world.cpp
+++ b/src/world/world.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 // Shortest wait between ticks that no event asks for.
-constexpr Millis MinTickInterval{ 1 };
+constexpr Millis MinTickInterval{1};
 
 } // namespace
 
--- /dev/null
+++ b/test/config_test.cpp
@@ -0,0 +1,215 @@
+// Configuration: in force everywhere within seconds, never reverting, under store faults, cuts, restarts and racing operators.
+#define BOOST_TEST_MODULE config
+#include "fake/fake_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace radishford; // NOLINT: tests speak of nothing else
+
+namespace {
+
+constexpr std::size_t Instances = 12;
+// The stated target for a change to be in force everywhere.
+constexpr Millis InForceWithin{16000};
+
+// A ticket that sets the budget's probes, so that versions can be told apart.
+Ticket numbered(std::uint64_t number, const std::string &submission)
+{
+    return standardTicket(number, submission);
+}
+
+// A fleet that has joined, with ticket 1 in force.
+void join(FakeFleet &fleet)
+{
+    fleet.runFor(Millis(5000));
+    fleet.submit(0, numbered(1, "one"));
+    fleet.runFor(InForceWithin);
+    BOOST_REQUIRE(fleet.allHaveTicket(1));
+}
+
+// The code of a submission's result.
+ResultCode codeOf(const FakeFleet &fleet, std::size_t submission)
+{
+    BOOST_REQUIRE(fleet.ticketResults_[submission].has_value());
+    return fleet.ticketResults_[submission]->code_;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(an_accepted_ticket_spreads_with_the_store_down_and_heartbeats_lost)
+{
+    FakeFleet fleet(Instances, 3);
+    join(fleet);
+    fleet.datagramLoss_ = 300;
+    const std::size_t submission = fleet.submit(4, numbered(2, "two"));
+    while (!fleet.ticketResults_[submission]) {
+        fleet.runFor(Millis(1));
+    }
+    fleet.store_.down_ = true;
+    BOOST_TEST((codeOf(fleet, submission) == ResultCode::Ok));
+    fleet.runFor(InForceWithin);
+    BOOST_TEST(fleet.allHaveTicket(2));
+}
+
+BOOST_AUTO_TEST_CASE(of_two_racing_operators_one_wins_and_the_other_sees_the_holder)
+{
+    FakeFleet fleet(Instances, 4);
+    join(fleet);
+    const std::size_t first = fleet.submit(1, numbered(2, "mine"));
+    const std::size_t second = fleet.submit(8, numbered(2, "theirs"));
+    fleet.runFor(InForceWithin);
+    const int accepted = (codeOf(fleet, first) == ResultCode::Ok ? 1 : 0) + (codeOf(fleet, second) == ResultCode::Ok ? 1 : 0);
+    BOOST_TEST(accepted == 1);
+    const std::size_t loser = codeOf(fleet, first) == ResultCode::Ok ? second : first;
+    BOOST_TEST((codeOf(fleet, loser) == ResultCode::TicketConflict));
+    BOOST_TEST(fleet.ticketResults_[loser]->holder_.size() == 1U);
+    BOOST_TEST(fleet.allHaveTicket(2));
+}
+
+BOOST_AUTO_TEST_CASE(an_acceptance_whose_answer_was_lost_is_settled_by_reading_back)
+{
+    FakeFleet fleet(Instances, 5);
+    join(fleet);
+    fleet.store_.losesAnswers_ = true;
+    const std::size_t submission = fleet.submit(2, numbered(2, "lost"));
+    fleet.runFor(Millis(2000));
+    BOOST_TEST(fleet.store_.tickets_.contains(2));
+    fleet.store_.losesAnswers_ = false;
+    fleet.runFor(InForceWithin);
+    BOOST_TEST((codeOf(fleet, submission) == ResultCode::Ok));
+    BOOST_TEST(fleet.allHaveTicket(2));
+}
+
+BOOST_AUTO_TEST_CASE(a_submission_through_another_daemon_after_a_lost_answer_is_the_same_ticket)
+{
+    FakeFleet fleet(Instances, 6);
+    join(fleet);
+    fleet.submit(2, numbered(2, "same"));
+    fleet.runFor(InForceWithin);
+    const std::size_t again = fleet.submit(7, numbered(2, "same"));
+    fleet.runFor(InForceWithin);
+    BOOST_TEST((codeOf(fleet, again) == ResultCode::Ok));
+    BOOST_TEST(fleet.store_.tickets_.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_fresh_daemon_refuses_calls_until_it_knows_the_configuration)
+{
+    FakeFleet fleet(Instances, 7);
+    join(fleet);
+    fleet.store_.down_ = true;
+    fleet.kill(3);
+    for (std::size_t other = 0; other < Instances; ++other) {
+        if (other != 3) {
+            fleet.cut(3, other, true);
+        }
+    }
+    fleet.start(3);
+    fleet.runFor(Millis(20000));
+    BOOST_TEST(!fleet.world(3).tickets_.current_);
+    const std::size_t call = fleet.call(3, FakeCall{.token_ = "t", .action_ = "a"});
+    fleet.runFor(Millis(100));
+    BOOST_TEST((fleet.results_[call].failure_ == ResultCode::NotReady));
+    for (std::size_t other = 0; other < Instances; ++other) {
+        fleet.cut(3, other, false);
+    }
+    // Peers alone tell it, with the store still down.
+    fleet.runFor(InForceWithin);
+    BOOST_TEST(fleet.world(3).tickets_.current_);
+    BOOST_TEST(fleet.allHaveTicket(1));
+}
+
+BOOST_AUTO_TEST_CASE(a_stale_read_of_the_store_does_not_let_a_lone_fresh_daemon_serve_an_old_ticket)
+{
+    FakeFleet fleet(1, 8);
+    fleet.runFor(Millis(5000));
+    fleet.submit(0, numbered(1, "one"));
+    fleet.runFor(Millis(3000));
+    fleet.submit(0, numbered(2, "two"));
+    fleet.runFor(Millis(3000));
+    fleet.store_.staleAfter_ = 1;
+    fleet.kill(0);
+    fleet.start(0);
+    for (int step = 0; step < 1000; ++step) {
+        fleet.runFor(Millis(10));
+        const TicketTable &tickets = fleet.world(0).tickets_;
+        BOOST_REQUIRE((!tickets.current_ || tickets.highest_ == TicketNumber(2)));
+    }
+    BOOST_TEST(fleet.world(0).tickets_.current_);
+}
+
+// What an instance served by never gets older, whatever restarts, cuts, outages and stale reads come in which order.
+RC_BOOST_PROP(configuration_never_reverts, ())
+{
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 8));
+    FakeFleet fleet(6, seed);
+    fleet.lateMessages_ = 50;
+    fleet.datagramLoss_ = 50;
+    std::vector<std::uint64_t> served(6, 0);
+    const auto check = [&]() {
+        for (std::size_t index = 0; index < fleet.size(); ++index) {
+            if (fleet.instances_[index].world_ && fleet.world(index).tickets_.current_) {
+                const std::uint64_t highest = fleet.world(index).tickets_.highest_.value();
+                RC_ASSERT(highest >= served[index]);
+                served[index] = highest;
+            }
+        }
+    };
+    fleet.runFor(Millis(5000));
+    Random random(seed);
+    for (const int step : steps) {
+        const std::size_t target = random.below(6);
+        const std::size_t other = random.below(6);
+        switch (step) {
+        case 0:
+            fleet.kill(target);
+            fleet.start(target);
+            break;
+        case 1:
+            fleet.cut(target, other, true);
+            fleet.at(fleet.now() + Millis(6000), [&fleet, target, other]() { fleet.cut(target, other, false); });
+            break;
+        case 2:
+            fleet.store_.staleAfter_ = fleet.store_.tickets_.empty() ? 0 : fleet.store_.tickets_.rbegin()->first;
+            break;
+        case 3:
+            fleet.store_.losesAnswers_ = !fleet.store_.losesAnswers_;
+            break;
+        default: {
+            const std::uint64_t next = fleet.world(target).tickets_.highest_.value() + 1;
+            fleet.submit(target, numbered(next, std::to_string(random.bits())));
+        }
+        }
+        for (int slice = 0; slice < 15; ++slice) {
+            fleet.runFor(Millis(100));
+            check();
+        }
+    }
+    fleet.store_.losesAnswers_ = false;
+    fleet.store_.staleAfter_ = ~std::uint64_t{0};
+    for (int slice = 0; slice < 160; ++slice) {
+        fleet.runFor(Millis(100));
+        check();
+    }
+    RC_ASSERT(fleet.allHaveTicket(fleet.store_.tickets_.size()));
+}
+
+// Merging objects in any order and any number of times gives what a naive "highest number wins" gives.
+RC_BOOST_PROP(ticket_merge_equals_naive_merge, ())
+{
+    using Entry = std::pair<int, int>;
+    const auto entries = *rc::gen::container<std::vector<Entry>>(rc::gen::pair(rc::gen::inRange(0, 4), rc::gen::inRange(1, 9)));
+    FakeFleet fleet(1, 1);
+    std::map<int, int> naive;
+    for (const auto &[name, number] : entries) {
+        applyObject(fleet.world(0), TicketObject{std::to_string(name), TicketNumber(static_cast<std::uint64_t>(number)), DrainSpec{number % 2 == 0}});
+        naive[name] = std::max(naive[name], number);
+    }
+    RC_ASSERT(fleet.world(0).tickets_.objects_.size() == naive.size());
+    for (const auto &[key, object] : fleet.world(0).tickets_.objects_) {
+        const int expected = naive.at(std::stoi(key.name_));
+        RC_ASSERT(object.number_.value() == static_cast<std::uint64_t>(expected));
+        RC_ASSERT(std::get<DrainSpec>(object.spec_).draining_ == (expected % 2 == 0));
+    }
+}
--- a/test/core_test.cpp
+++ b/test/core_test.cpp
@@ -35,7 +35,7 @@
 BOOST_AUTO_TEST_CASE(addresses_are_read_and_written)
 {
     BOOST_TEST(toText(parseAddress("127.0.1.250:7400")) == "127.0.1.250:7400");
-    for (const char *bad : { "", "127.0.0.1", "127.0.0.256:1", "1.2.3.4:65536", "1.2.3.4:5x", "a.b.c.d:1", "1.2.3:4", "1.2.3.4:" }) {
+    for (const char *bad : {"", "127.0.0.1", "127.0.0.256:1", "1.2.3.4:65536", "1.2.3.4:5x", "a.b.c.d:1", "1.2.3:4", "1.2.3.4:"}) {
         BOOST_CHECK_THROW(parseAddress(bad), Error);
     }
 }
--- a/test/fake/fake_fleet.cpp
+++ b/test/fake/fake_fleet.cpp
@@ -9,14 +9,14 @@
 
 constexpr std::uint16_t DaemonPort = 7401;
 constexpr std::uint32_t FirstIp = 0x7F000101;
-constexpr Millis AnnounceInterval{ 500 };
-constexpr Millis LossNotice{ 2 };
+constexpr Millis AnnounceInterval{500};
+constexpr Millis LossNotice{2};
 constexpr std::uint64_t PermilleScale = 1000;
 
 // Address of an instance.
 Address addressOf(std::size_t index)
 {
-    return Address{ FirstIp + static_cast<std::uint32_t>(index), DaemonPort };
+    return Address{FirstIp + static_cast<std::uint32_t>(index), DaemonPort};
 }
 
 } // namespace
@@ -26,15 +26,15 @@
     , service_(service)
     , random_(seed)
 {
-    const std::vector<Place> places{ { "r0-a", "r0" }, { "r0-b", "r0" }, { "r1-a", "r1" }, { "r1-b", "r1" }, { "r2-a", "r2" }, { "r2-b", "r2" } };
+    const std::vector<Place> places{{"r0-a", "r0"}, {"r0-b", "r0"}, {"r1-a", "r1"}, {"r1-b", "r1"}, {"r2-a", "r2"}, {"r2-b", "r2"}};
     for (std::size_t index = 0; index < instances; ++index) {
         WorldSettings &settings = instances_[index].settings_;
         settings.name_ = InstanceName("i" + std::to_string(index));
         settings.address_ = addressOf(index);
-        settings.adminAddress_ = Address{ settings.address_.ip_, 7404 };
+        settings.adminAddress_ = Address{settings.address_.ip_, 7404};
         settings.places_ = places;
         settings.failureDomain_ = places[index % places.size()].failureDomain_;
-        settings.seeds_ = { addressOf(0), addressOf(1), addressOf(2) };
+        settings.seeds_ = {addressOf(0), addressOf(1), addressOf(2)};
         start(index);
         announce(index);
     }
@@ -95,8 +95,8 @@
     instance.running_ = 0;
     at(now_ + downFor, [this, index]() { instances_[index].backendUp_ = true; });
     for (const auto &[key, link] : std::map(byHandle_)) {
-        if (key.first == index && link && !link->ended_) {
-            deliver(index, link->serverLife_, BackendFailed{ link->handle_, BackendFault::Broken });
+        if (key.first == index && link && std::exchange(link->running_, false)) {
+            deliver(index, link->serverLife_, BackendFailed{link->handle_, BackendFault::Broken});
         }
     }
 }
@@ -161,7 +161,7 @@
 std::size_t FakeFleet::submit(std::size_t index, const Ticket &ticket)
 {
     ticketResults_.emplace_back();
-    post(index, TicketSubmitted{ ticketResults_.size(), ticket });
+    post(index, TicketSubmitted{ticketResults_.size(), ticket});
     return ticketResults_.size() - 1;
 }
 
@@ -172,7 +172,7 @@
 
 void FakeFleet::at(Millis time, std::function<void()> action)
 {
-    queue_.push(Item{ time, ++order_, std::move(action) });
+    queue_.push(Item{time, ++order_, std::move(action)});
 }
 
 Millis FakeFleet::now() const
@@ -213,7 +213,7 @@
         instance.backlog_.push_back(std::move(event));
         return;
     }
-    tick(index, { std::move(event) });
+    tick(index, {std::move(event)});
 }
 
 void FakeFleet::tick(std::size_t index, Inbox inbox)
@@ -257,8 +257,8 @@
 {
     FakeInstance &instance = instances_[index];
     if (instance.backendUp_ && instance.announcing_) {
-        const Address address{ FirstIp + static_cast<std::uint32_t>(index), 7410 };
-        deliver(index, instance.life_, BackendAnnounced{ ServiceName(service_), address, Slots(instance.slots_), instance.announces_ });
+        const Address address{FirstIp + static_cast<std::uint32_t>(index), 7410};
+        deliver(index, instance.life_, BackendAnnounced{ServiceName(service_), address, Slots(instance.slots_), instance.announces_});
     }
     at(now_ + AnnounceInterval, [this, index]() { announce(index); });
 }
@@ -313,8 +313,8 @@
     }
     link->ended_ = true;
     at(now_ + LossNotice, [this, link]() {
-        deliver(link->client_, link->clientLife_, ExchangeLost{ link->attempt_, false });
-        deliver(link->server_, link->serverLife_, PeerGone{ link->handle_ });
+        deliver(link->client_, link->clientLife_, ExchangeLost{link->attempt_, false});
+        deliver(link->server_, link->serverLife_, PeerGone{link->handle_});
     });
 }
 
@@ -333,10 +333,11 @@
     const ExchangeHandle handle = link->handle_;
     const int life = link->serverLife_;
     if (!instance.backendUp_) {
-        at(now_ + Millis(1), [this, index, life, handle]() { deliver(index, life, BackendFailed{ handle, BackendFault::Unreachable }); });
+        at(now_ + Millis(1), [this, index, life, handle]() { deliver(index, life, BackendFailed{handle, BackendFault::Unreachable}); });
         return;
     }
     const FakeCall &call = calls_[link->call_.value() - 1];
+    link->running_ = true;
     ++executions_[call.action_];
     ++executionsByToken_[call.token_];
     if (call.kills_) {
@@ -346,10 +347,11 @@
     }
     ++instance.running_;
     instance.mostRunning_ = std::max(instance.mostRunning_, instance.running_);
-    at(now_ + instance.work_, [this, index, life, handle, backendLife = instance.backendLife_]() {
+    at(now_ + instance.work_, [this, index, life, handle, link, backendLife = instance.backendLife_]() {
         if (instances_[index].backendLife_ == backendLife) {
             --instances_[index].running_;
-            deliver(index, life, BackendAnswered{ handle, 200 });
+            link->running_ = false;
+            deliver(index, life, BackendAnswered{handle, 200});
         }
     });
 }
@@ -365,7 +367,7 @@
     const auto server = find(effect.peer_);
     if (!server || isCut(index, *server)) {
         const int life = instances_[index].life_;
-        at(now_ + LossNotice, [this, index, life, effect]() { deliver(index, life, ExchangeLost{ effect.attempt_, true }); });
+        at(now_ + LossNotice, [this, index, life, effect]() { deliver(index, life, ExchangeLost{effect.attempt_, true}); });
         return;
     }
     const auto link = std::make_shared<FakeLink>();
@@ -377,42 +379,42 @@
     link->handle_ = ExchangeHandle(++lastHandle_);
     link->call_ = effect.call_;
     link->rides_ = effect.offer_.bodyRides_;
-    byAttempt_[{ index, effect.attempt_ }] = link;
-    byHandle_[{ *server, link->handle_ }] = link;
-    toServer(link, OfferArrived{ link->handle_, effect.offer_ });
+    byAttempt_[{index, effect.attempt_}] = link;
+    byHandle_[{*server, link->handle_}] = link;
+    toServer(link, OfferArrived{link->handle_, effect.offer_});
     if (link->rides_) {
         link->bodySent_ = true;
-        toServer(link, BodyArrived{ link->handle_ });
+        toServer(link, BodyArrived{link->handle_});
     }
 }
 
 void FakeFleet::apply(std::size_t index, const SendGo &effect)
 {
-    const LinkPtr link = byAttempt_[{ index, effect.attempt_ }];
-    toServer(link, GoArrived{ link->handle_ });
+    const LinkPtr link = byAttempt_[{index, effect.attempt_}];
+    toServer(link, GoArrived{link->handle_});
     if (!std::exchange(link->bodySent_, true)) {
-        toServer(link, BodyArrived{ link->handle_ });
+        toServer(link, BodyArrived{link->handle_});
     }
 }
 
 void FakeFleet::apply(std::size_t index, const SendWithdraw &effect)
 {
-    const LinkPtr link = byAttempt_[{ index, effect.attempt_ }];
+    const LinkPtr link = byAttempt_[{index, effect.attempt_}];
     if (link) {
-        toServer(link, WithdrawArrived{ link->handle_ });
+        toServer(link, WithdrawArrived{link->handle_});
     }
 }
 
 void FakeFleet::apply(std::size_t index, const DropExchange &effect)
 {
-    const LinkPtr link = byAttempt_[{ index, effect.attempt_ }];
+    const LinkPtr link = byAttempt_[{index, effect.attempt_}];
     if (!link || link->ended_) {
         return;
     }
     const Millis when = std::max(link->toServerAt_, now_ + delay(link->client_, link->server_));
     at(when, [this, link]() {
         if (!std::exchange(link->ended_, true)) {
-            deliver(link->server_, link->serverLife_, PeerGone{ link->handle_ });
+            deliver(link->server_, link->serverLife_, PeerGone{link->handle_});
         }
     });
 }
@@ -420,7 +422,7 @@
 void FakeFleet::apply(std::size_t index, const RelayAnswer &effect)
 {
     CallResult *result = resultOf(index, effect.call_);
-    const LinkPtr link = byAttempt_[{ index, effect.attempt_ }];
+    const LinkPtr link = byAttempt_[{index, effect.attempt_}];
     if (result != nullptr && link) {
         result->answer_ = calls_[link->call_.value() - 1].token_;
         result->endedAt_ = now_;
@@ -445,40 +447,40 @@
 
 void FakeFleet::apply(std::size_t index, const ReplyOffer &effect)
 {
-    const LinkPtr link = byHandle_[{ index, effect.exchange_ }];
+    const LinkPtr link = byHandle_[{index, effect.exchange_}];
     if (link) {
-        toClient(link, OfferReplied{ link->attempt_, effect.reply_ });
+        toClient(link, OfferReplied{link->attempt_, effect.reply_});
     }
 }
 
 void FakeFleet::apply(std::size_t index, const ReplyWithdraw &effect)
 {
-    const LinkPtr link = byHandle_[{ index, effect.exchange_ }];
+    const LinkPtr link = byHandle_[{index, effect.exchange_}];
     if (link) {
-        toClient(link, WithdrawReplied{ link->attempt_, effect.reply_.handedOver_ });
+        toClient(link, WithdrawReplied{link->attempt_, effect.reply_.handedOver_});
     }
 }
 
 void FakeFleet::apply(std::size_t index, const HandOver &effect)
 {
     instances_[index].handOvers_.push_back(now_);
-    runRequest(index, byHandle_[{ index, effect.exchange_ }]);
+    runRequest(index, byHandle_[{index, effect.exchange_}]);
 }
 
 void FakeFleet::apply(std::size_t index, const FailExchange &effect)
 {
-    const LinkPtr link = byHandle_[{ index, effect.exchange_ }];
+    const LinkPtr link = byHandle_[{index, effect.exchange_}];
     if (link) {
-        toClient(link, AttemptFailed{ link->attempt_, static_cast<ResultCode>(effect.reply_.code_), effect.reply_.report_ });
+        toClient(link, AttemptFailed{link->attempt_, static_cast<ResultCode>(effect.reply_.code_), effect.reply_.report_});
     }
 }
 
 void FakeFleet::apply(std::size_t index, const EndExchange &effect)
 {
-    const LinkPtr link = byHandle_[{ index, effect.exchange_ }];
+    const LinkPtr link = byHandle_[{index, effect.exchange_}];
     if (link && !link->ended_) {
-        toClient(link, AnswerStarted{ link->attempt_ });
-        toClient(link, AnswerCompleted{ link->attempt_, effect.report_ });
+        toClient(link, AnswerStarted{link->attempt_});
+        toClient(link, AnswerCompleted{link->attempt_, effect.report_});
     }
 }
 
@@ -495,7 +497,7 @@
     }
     const int copies = random_.below(PermilleScale) < datagramLoss_ ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy) {
-        const DatagramArrived event{ instances_[index].settings_.address_, effect.datagram_ };
+        const DatagramArrived event{instances_[index].settings_.address_, effect.datagram_};
         at(now_ + delay(index, *target), [this, target = *target, event]() { deliver(target, instances_[target].life_, event); });
     }
 }
@@ -508,7 +510,7 @@
     at(now_ + there, [this, index, life, target, effect]() {
         const bool reached = target && instances_[*target].world_ && !instances_[*target].paused_ && !isCut(index, *target);
         const TicketBatch batch = reached ? objectsAfter(*instances_[*target].world_, effect.pull_.after_) : TicketBatch{};
-        at(now_ + Millis(1), [this, index, life, reached, batch, effect]() { deliver(index, life, TicketBatchArrived{ effect.to_, reached, batch }); });
+        at(now_ + Millis(1), [this, index, life, reached, batch, effect]() { deliver(index, life, TicketBatchArrived{effect.to_, reached, batch}); });
     });
 }
 
@@ -516,7 +518,7 @@
 {
     const auto target = find(effect.to_);
     if (target && !isCut(index, *target)) {
-        const TicketBatchArrived event{ instances_[index].settings_.address_, true, effect.batch_ };
+        const TicketBatchArrived event{instances_[index].settings_.address_, true, effect.batch_};
         at(now_ + delay(index, *target), [this, target = *target, event]() { deliver(target, instances_[target].life_, event); });
     }
 }
@@ -527,7 +529,7 @@
     at(now_ + Millis(2), [this, index, life, effect]() {
         const StoreAnswer answer = store_.run(effect.operation_);
         const Millis wait = answer.ok_ ? Millis(2) : Millis(1000);
-        at(now_ + wait, [this, index, life, effect, answer]() { deliver(index, life, StoreAnswered{ effect.request_, answer }); });
+        at(now_ + wait, [this, index, life, effect, answer]() { deliver(index, life, StoreAnswered{effect.request_, answer}); });
     });
 }
 
@@ -565,8 +567,8 @@
     };
     ServiceSpec spec;
     spec.classes_
-        = { makeClass("read", true, false, 1000, 16, 1500), makeClass("check", true, false, 250, 8, 5000), makeClass("write", false, false, 1000, 16, 3000),
-            makeClass("keyed", false, true, 1000, 16, 3000), makeClass("upload", true, false, 500, 4, 900000) };
+        = {makeClass("read", true, false, 1000, 16, 1500), makeClass("check", true, false, 250, 8, 5000), makeClass("write", false, false, 1000, 16, 3000),
+           makeClass("keyed", false, true, 1000, 16, 3000), makeClass("upload", true, false, 500, 4, 900000)};
     spec.classes_.back().streamed_ = true;
     spec.retryBudget_ = Permille(200);
     spec.coldStart_ = Millis(0);
@@ -575,10 +577,10 @@
     budget.bytesPerSecond_ = Bytes(20000);
     budget.probesPerSecond_ = 10;
     budget.daemonsPerRegion_ = 2;
-    for (const char *from : { "r0", "r1", "r2" }) {
-        for (const char *to : { "r0", "r1", "r2" }) {
+    for (const char *from : {"r0", "r1", "r2"}) {
+        for (const char *to : {"r0", "r1", "r2"}) {
             if (std::string(from) != to) {
-                budget.regionPairs_.push_back(RegionPairBudget{ from, to, Bytes(2000), 4 });
+                budget.regionPairs_.push_back(RegionPairBudget{from, to, Bytes(2000), 4});
             }
         }
     }
@@ -587,7 +589,7 @@
     ticket.submission_ = submission;
     ticket.author_ = "tester";
     ticket.reason_ = "test";
-    ticket.objects_ = { TicketObject{ "booking", TicketNumber(number), spec }, TicketObject{ "measuring", TicketNumber(number), budget } };
+    ticket.objects_ = {TicketObject{"booking", TicketNumber(number), spec}, TicketObject{"measuring", TicketNumber(number), budget}};
     return ticket;
 }
 
--- a/test/fake/fake_fleet.h
+++ b/test/fake/fake_fleet.h
@@ -40,7 +40,8 @@
     // Action that must not happen twice; several calls may stand for one.
     std::string action_;
     std::string class_ = "read";
-    std::string key_;
+    std::string key_{};
+    // Zero for the hash of the action.
     std::uint64_t fingerprint_ = 0;
     bool mayRide_ = true;
     // Kills the backend server that runs it.
@@ -63,7 +64,7 @@
     BackendState announces_ = BackendState::Ready;
     bool announcing_ = true;
     int slots_ = 4;
-    Millis work_{ 5 };
+    Millis work_{5};
     int running_ = 0;
     int mostRunning_ = 0;
     // Raised at each failure of the backend server.
@@ -83,6 +84,8 @@
     bool rides_ = false;
     bool bodySent_ = false;
     bool ended_ = false;
+    // True while the backend server runs the request.
+    bool running_ = false;
     // Messages of one direction keep their order.
     Millis toServerAt_;
     Millis toClientAt_;
@@ -204,7 +207,7 @@
 
     std::string service_;
     Random random_;
-    Millis now_{ 1000 };
+    Millis now_{1000};
     std::uint64_t order_ = 0;
     std::priority_queue<Item> queue_;
     std::set<std::pair<std::size_t, std::size_t>> cuts_;
--- a/test/fake/fake_store.h
+++ b/test/fake/fake_store.h
@@ -18,7 +18,7 @@
     // Requests take effect, but their answers do not come.
     bool losesAnswers_ = false;
     // Reads show tickets up to this number only.
-    std::uint64_t staleAfter_ = ~std::uint64_t{ 0 };
+    std::uint64_t staleAfter_ = ~std::uint64_t{0};
     std::map<std::string, ClaimValue> claims_;
     std::map<std::uint64_t, Ticket> tickets_;
     std::uint64_t reads_ = 0;
@@ -41,7 +41,7 @@
         StoreAnswer answer;
         for (const ClaimInsert &claim : batch.claims_) {
             const auto [row, added] = claims_.emplace(claim.key_, claim.value_);
-            answer.claims_.push_back(ClaimResult{ added, row->second });
+            answer.claims_.push_back(ClaimResult{added, row->second});
         }
         return answer;
     }
@@ -54,7 +54,7 @@
         if (done) {
             row->second = replace.value_;
         }
-        return StoreAnswer{ true, { ClaimResult{ done, row == claims_.end() ? ClaimValue{} : row->second } }, {}, false };
+        return StoreAnswer{true, {ClaimResult{done, row == claims_.end() ? ClaimValue{} : row->second}}, {}, false};
     }
 
     StoreAnswer apply(const ClaimDelete &removal)
@@ -65,7 +65,7 @@
         if (done) {
             claims_.erase(row);
         }
-        return StoreAnswer{ true, { ClaimResult{ done, {} } }, {}, false };
+        return StoreAnswer{true, {ClaimResult{done, {}}}, {}, false};
     }
 
     StoreAnswer apply(const TicketInsert &insert)
@@ -74,10 +74,17 @@
         const auto [row, added] = tickets_.emplace(insert.ticket_.number_.value(), insert.ticket_);
         StoreAnswer answer;
         answer.inserted_ = added;
-        answer.tickets_ = added ? std::vector<Ticket>() : std::vector<Ticket>{ row->second };
+        answer.tickets_ = added ? std::vector<Ticket>() : std::vector<Ticket>{row->second};
         return answer;
     }
 
+    StoreAnswer apply(const TicketVerify &verify)
+    {
+        ++writes_;
+        const auto row = tickets_.find(verify.number_.value());
+        return StoreAnswer{true, {}, row == tickets_.end() ? std::vector<Ticket>() : std::vector<Ticket>{row->second}, false};
+    }
+
     StoreAnswer apply(const TicketRead &read)
     {
         ++reads_;
--- a/test/outcome_property_test.cpp
+++ b/test/outcome_property_test.cpp
@@ -66,7 +66,7 @@
     fleet.at(fleet.now() + Millis(1000), [&fleet, step]() { fleet.instances_[step.target_].work_ = Millis(5); });
 }
 
-constexpr std::array<FaultFunction, 7> Faults{ killDaemon, pauseDaemon, cutNetwork, failServer, stopStore, loseStoreAnswers, slowServer };
+constexpr std::array<FaultFunction, 7> Faults{killDaemon, pauseDaemon, cutNetwork, failServer, stopStore, loseStoreAnswers, slowServer};
 
 rc::Gen<FaultStep> anyFault()
 {
@@ -103,7 +103,7 @@
 // Makes random calls while the faults happen, heals everything, and waits for the end.
 void runSchedule(FakeFleet &fleet, const std::vector<FaultStep> &faults)
 {
-    constexpr std::array<const char *, 3> Classes{ "read", "write", "keyed" };
+    constexpr std::array<const char *, 3> Classes{"read", "write", "keyed"};
     const Millis start = fleet.now();
     for (const FaultStep &fault : faults) {
         fleet.at(start + Millis(fault.startMs_), [&fleet, fault]() { Faults[fault.kind_](fleet, fault); });
@@ -186,7 +186,7 @@
     for (auto &run : ends) {
         FakeFleet fleet(Instances, 11);
         startFleet(fleet);
-        runSchedule(fleet, { FaultStep{ 0, 2, 0, 300, 900 }, FaultStep{ 5, 0, 0, 500, 800 } });
+        runSchedule(fleet, {FaultStep{0, 2, 0, 300, 900}, FaultStep{5, 0, 0, 500, 800}});
         for (const CallResult &result : fleet.results_) {
             run.push_back(result.endedAt_.micros());
         }
--- a/test/standin/backend.cpp
+++ b/test/standin/backend.cpp
@@ -22,7 +22,7 @@
 
 constexpr std::chrono::milliseconds AnnounceInterval(500);
 constexpr std::chrono::milliseconds AnnounceTimeout(400);
-constexpr std::size_t ReadChunk = std::size_t{ 64 } << 10U;
+constexpr std::size_t ReadChunk = std::size_t{64} << 10U;
 constexpr unsigned HttpVersion = 11;
 
 // What the command line says.
@@ -75,10 +75,8 @@
     // Sends one announcement.
     Task<> announce()
     {
-        const json::object body{ { "service", settings_.service_ },
-                                 { "address", toText(settings_.listen_) },
-                                 { "slots", settings_.slots_ },
-                                 { "state", draining_ ? "draining" : "ready" } };
+        const json::object body{
+            {"service", settings_.service_}, {"address", toText(settings_.listen_)}, {"slots", settings_.slots_}, {"state", draining_ ? "draining" : "ready"}};
         co_await askHttp(context_, settings_.announce_, makeRequest(http::verb::post, "/announce", json::serialize(body)), AnnounceTimeout);
     }
 
@@ -144,7 +142,7 @@
                 co_return false;
             }
             const std::size_t got = part.size() - parser.get().body().size;
-            hash = hashBytes({ part.data(), got }, hash);
+            hash = hashBytes({part.data(), got}, hash);
             length += got;
         }
         if (!parser.get()["X-Kill"].empty()) {
@@ -177,7 +175,7 @@
         http::response<http::string_body> response(http::status::ok, HttpVersion);
         response.set("X-Token", token);
         response.set(http::field::content_type, "application/json");
-        response.body() = json::serialize(json::object{ { "token", token }, { "target", std::string(parser.get().target()) }, { "bytes", length } }) + "\n";
+        response.body() = json::serialize(json::object{{"token", token}, {"target", std::string(parser.get().target())}, {"bytes", length}}) + "\n";
         response.keep_alive(parser.keep_alive());
         response.prepare_payload();
         error_code problem;
--- a/test/standin/platform.cpp
+++ b/test/standin/platform.cpp
@@ -46,7 +46,7 @@
             co_return setFaults(request.body());
         }
         if (target == "/counts") {
-            co_return page(json::object{ { "reads", reads_ }, { "writes", writes_ } });
+            co_return page(json::object{{"reads", reads_}, {"writes", writes_}});
         }
         co_return co_await answerData(std::move(request), target);
     }
@@ -109,7 +109,7 @@
             results.push_back(operation == "scan" ? scan(step) : write(step, operation));
         }
         ++(writes ? writes_ : reads_);
-        return page(json::object{ { "results", results } });
+        return page(json::object{{"results", results}});
     }
 
     // Reads rows from a key on.
@@ -125,7 +125,7 @@
             }
             values.push_back(json::value(row->second));
         }
-        return json::object{ { "values", values } };
+        return json::object{{"values", values}};
     }
 
     // Inserts, replaces or deletes one row if its present value is the expected one.
@@ -136,14 +136,14 @@
         const bool absent = row == rows_.end();
         const bool allowed = operation == "insert" ? absent : !absent && row->second == step.text("expected");
         if (!allowed) {
-            return absent ? json::object{ { "done", false } } : json::object{ { "done", false }, { "current", row->second } };
+            return absent ? json::object{{"done", false}} : json::object{{"done", false}, {"current", row->second}};
         }
         if (operation == "delete") {
             rows_.erase(row);
         } else {
             rows_[key] = step.text("value");
         }
-        return json::object{ { "done", true } };
+        return json::object{{"done", true}};
     }
 
     // Reads or writes an object.
--- /dev/null
+++ b/test/suspect_test.cpp
@@ -0,0 +1,141 @@
+// Requests that kill: stopped after at most two backend servers, with innocent neighbours free again.
+#define BOOST_TEST_MODULE suspect
+#include "call/suspect_func.h"
+#include "core/hash.h"
+#include "fake/fake_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace radishford; // NOLINT: tests speak of nothing else
+
+namespace {
+
+constexpr std::size_t Instances = 10;
+constexpr int MaxKilled = 2;
+
+// A fleet with ticket 1 in force.
+void join(FakeFleet &fleet)
+{
+    fleet.runFor(Millis(5000));
+    fleet.submit(0, standardTicket(1));
+    fleet.runFor(Millis(8000));
+}
+
+// A request that kills the backend server that runs it.
+FakeCall killer(const std::string &name, const std::string &requestClass)
+{
+    FakeCall call;
+    call.token_ = name;
+    call.action_ = name;
+    call.class_ = requestClass;
+    call.kills_ = true;
+    return call;
+}
+
+// Sends a killing request through one daemon after another, as soon as each send has failed.
+void sendAgainAndAgain(FakeFleet &fleet, const FakeCall &call, int sends)
+{
+    for (int send = 0; send < sends; ++send) {
+        const std::size_t number = fleet.call(static_cast<std::size_t>(send * 3) % Instances, call);
+        while (!fleet.results_[number].isOver()) {
+            fleet.runFor(Millis(1));
+        }
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(an_idempotent_request_that_kills_is_stopped_after_two_backend_servers)
+{
+    FakeFleet fleet(Instances, 31);
+    join(fleet);
+    sendAgainAndAgain(fleet, killer("poison", "read"), 6);
+    BOOST_TEST(fleet.killed_ <= MaxKilled);
+    BOOST_TEST((fleet.results_.back().failure_ == ResultCode::Quarantined));
+}
+
+BOOST_AUTO_TEST_CASE(a_non_idempotent_request_that_kills_is_stopped_after_two_backend_servers)
+{
+    FakeFleet fleet(Instances, 32);
+    join(fleet);
+    sendAgainAndAgain(fleet, killer("poison", "write"), 6);
+    BOOST_TEST(fleet.killed_ <= MaxKilled);
+    BOOST_TEST((fleet.results_.back().failure_ == ResultCode::Quarantined));
+}
+
+BOOST_AUTO_TEST_CASE(neighbours_in_flight_are_free_again)
+{
+    FakeFleet fleet(Instances, 33);
+    join(fleet);
+    for (FakeInstance &instance : fleet.instances_) {
+        instance.work_ = Millis(40);
+    }
+    std::vector<FakeCall> neighbours;
+    for (int number = 0; number < 30; ++number) {
+        const std::string name = "n" + std::to_string(number);
+        const FakeCall call{.token_ = name, .action_ = name};
+        neighbours.push_back(call);
+        fleet.call(static_cast<std::size_t>(number) % Instances, call);
+    }
+    fleet.runFor(Millis(15));
+    sendAgainAndAgain(fleet, killer("poison", "read"), 3);
+    BOOST_TEST(fleet.killed_ <= MaxKilled);
+    fleet.runFor(Millis(5000));
+    for (const FakeCall &call : neighbours) {
+        const std::size_t again = fleet.call(1, call);
+        fleet.runFor(Millis(200));
+        BOOST_TEST(fleet.results_[again].answer_.has_value());
+        for (std::size_t index = 0; index < Instances; ++index) {
+            BOOST_TEST(!isQuarantined(fleet.world(index), Fingerprint(hashBytes(call.action_))));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(quarantine_ends_by_time_and_by_ticket)
+{
+    FakeFleet fleet(Instances, 34);
+    join(fleet);
+    const FakeCall poison = killer("poison", "read");
+    const Fingerprint fingerprint(hashBytes(poison.action_));
+    sendAgainAndAgain(fleet, poison, 3);
+    fleet.runFor(Millis(1000));
+    const auto quarantinedAt = [&]() {
+        int count = 0;
+        for (std::size_t index = 0; index < Instances; ++index) {
+            count += isQuarantined(fleet.world(index), fingerprint) ? 1 : 0;
+        }
+        return count;
+    };
+    BOOST_TEST(quarantinedAt() == static_cast<int>(Instances));
+    constexpr const char *Digits = "0123456789abcdef";
+    std::string hex;
+    for (int shift = 60; shift >= 0; shift -= 4) {
+        hex += Digits[(fingerprint.value() >> static_cast<unsigned>(shift)) & 15U];
+    }
+    Ticket release;
+    release.number_ = TicketNumber(2);
+    release.submission_ = "release";
+    release.objects_ = {TicketObject{hex, TicketNumber(2), QuarantineSpec{false}}};
+    fleet.submit(0, release);
+    fleet.runFor(Millis(10000));
+    BOOST_TEST(quarantinedAt() == 0);
+    sendAgainAndAgain(fleet, poison, 3);
+    fleet.runFor(Millis(1000));
+    BOOST_TEST(quarantinedAt() == static_cast<int>(Instances));
+    // The standard ticket's quarantine is a minute.
+    fleet.runFor(Millis(62000));
+    BOOST_TEST(quarantinedAt() == 0);
+}
+
+// Whatever else is lost or late, one caller's killing request fails no more than two backend servers.
+RC_BOOST_PROP(at_most_two_backend_servers_fail, ())
+{
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const auto sends = *rc::gen::inRange(1, 8);
+    FakeFleet fleet(Instances, seed);
+    join(fleet);
+    fleet.datagramLoss_ = 100;
+    sendAgainAndAgain(fleet, killer("poison", seed % 2 == 0 ? "read" : "write"), sends);
+    RC_ASSERT(fleet.killed_ <= MaxKilled);
+}
