--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -365,11 +365,13 @@
 {
     LocalBackend &backend = world.admissions_.backend_;
     const bool moved = backend.service_ != event.service_ || backend.address_ != event.address_ || backend.slots_ != event.slots_;
-    if (moved) {
+    const bool restarted = backend.incarnation_ != event.incarnation_;
+    if (moved || restarted) {
         setBackendState(world, BackendState::Absent);
         backend.service_ = event.service_;
         backend.address_ = event.address_;
         backend.slots_ = event.slots_;
+        backend.incarnation_ = event.incarnation_;
         backend.latency_ = Millis();
     }
     backend.announcedAt_ = world.now_;
--- a/src/call/admission_table.h
+++ b/src/call/admission_table.h
@@ -16,6 +16,8 @@
     Address address_;
     Slots slots_;
     BackendState state_ = BackendState::Absent;
+    // Start number, as announced.
+    Incarnation incarnation_;
     // When the latest announcement came.
     Millis announcedAt_;
     // When it last became ready.
--- a/src/daemon/announce_page.cpp
+++ b/src/daemon/announce_page.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace radishford {
 
@@ -38,6 +39,7 @@
     event.address_ = parseAddress(reader.text("address"));
     event.slots_ = Slots(static_cast<std::int32_t>(reader.number("slots", 1, MaxSlots)));
     event.state_ = readState(reader.text("state"));
+    event.incarnation_ = Incarnation(static_cast<std::uint64_t>(reader.number("started", 0, std::numeric_limits<std::int64_t>::max(), 0)));
     reader.finish();
     return event;
 }
--- a/src/world/event_type.h
+++ b/src/world/event_type.h
@@ -126,6 +126,8 @@
     Address address_;
     Slots slots_;
     BackendState state_ = BackendState::Ready;
+    // Start number of the backend server; a new one means that it starts cold.
+    Incarnation incarnation_;
 };
 
 // A datagram came.
--- /dev/null
+++ b/test/budget_test.cpp
@@ -0,0 +1,220 @@
+// The measuring budget holds for each daemon and region pair: in a rush, in a start of the whole fleet, and while everything fails.
+#define BOOST_TEST_MODULE budget
+#include "fake/fake_fleet.h"
+#include "measure/budget_func.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+#include <deque>
+
+using namespace radishford; // NOLINT: tests speak of nothing else
+
+namespace {
+
+constexpr std::size_t Instances = 12;
+constexpr Bytes ReportBytes{20};
+constexpr Millis Window{10000};
+constexpr double WindowSeconds = 10;
+// A bucket holds what it earns in one second.
+constexpr double BurstSeconds = 1;
+
+// Measuring traffic of one sender or pair within the latest window, and the most there ever was.
+struct Meter {
+    std::deque<std::tuple<Millis, double, double>> items_;
+    double bytes_ = 0;
+    double probes_ = 0;
+    double mostBytes_ = 0;
+    double mostProbes_ = 0;
+
+    void add(Millis now, double bytes, double probes)
+    {
+        items_.emplace_back(now, bytes, probes);
+        bytes_ += bytes;
+        probes_ += probes;
+        while (std::get<0>(items_.front()) + Window <= now) {
+            bytes_ -= std::get<1>(items_.front());
+            probes_ -= std::get<2>(items_.front());
+            items_.pop_front();
+        }
+        mostBytes_ = std::max(mostBytes_, bytes_);
+        mostProbes_ = std::max(mostProbes_, probes_);
+    }
+};
+
+// Counts measuring traffic from outside the worlds, by the effects alone.
+struct Auditor {
+    FakeFleet &fleet_;
+    std::map<std::size_t, Meter> byDaemon_;
+    std::map<std::pair<std::string, std::string>, Meter> byPair_;
+
+    explicit Auditor(FakeFleet &fleet)
+        : fleet_(fleet)
+    {
+        fleet.watch_ = [this](std::size_t index, const Effect &effect) { watch(index, effect); };
+    }
+
+    // Region of an instance by its number.
+    static std::string regionOfIndex(std::size_t index)
+    {
+        return "r" + std::to_string(index % 6 / 2);
+    }
+
+    void count(std::size_t from, const std::string &to, Bytes bytes, bool probe)
+    {
+        byDaemon_[from].add(fleet_.now(), static_cast<double>(bytes.value()), probe ? 1 : 0);
+        if (regionOfIndex(from) != to) {
+            byPair_[{regionOfIndex(from), to}].add(fleet_.now(), static_cast<double>(bytes.value()), probe ? 1 : 0);
+        }
+    }
+
+    // Region to which the answer of an exchange goes.
+    static std::string regionOfSender(const World &world, ExchangeHandle exchange)
+    {
+        const auto found = world.admissions_.byExchange_.find(exchange);
+        return found == world.admissions_.byExchange_.end() ? "" : world.admissions_.rows_.get(found->second)->offer_.sender_.value();
+    }
+
+    void countReport(std::size_t index, const LoadReport &report)
+    {
+        if (report.limit_.value() > 0) {
+            byDaemon_[index].add(fleet_.now(), static_cast<double>(ReportBytes.value()), 0);
+        }
+    }
+
+    void watch(std::size_t index, const Effect &effect)
+    {
+        if (const auto *datagram = std::get_if<SendDatagram>(&effect)) {
+            if (datagram->purpose_ == Purpose::Measuring) {
+                const std::size_t to = datagram->to_.ip_ - 0x7F000101;
+                count(index, regionOfIndex(to), networkSize(datagram->datagram_), std::holds_alternative<Probe>(datagram->datagram_));
+            }
+        } else if (const auto *reply = std::get_if<ReplyOffer>(&effect)) {
+            countReport(index, reply->reply_.report_);
+        } else if (const auto *end = std::get_if<EndExchange>(&effect)) {
+            countReport(index, end->report_);
+        } else if (const auto *failed = std::get_if<FailExchange>(&effect)) {
+            countReport(index, failed->reply_.report_);
+        }
+    }
+
+    // Compares with the standard ticket's limits.
+    void judge() const
+    {
+        for (const auto &[index, meter] : byDaemon_) {
+            BOOST_TEST(meter.mostBytes_ <= 20000 * (WindowSeconds + BurstSeconds));
+            BOOST_TEST(meter.mostProbes_ <= 10 * (WindowSeconds + BurstSeconds));
+        }
+        for (const auto &[pair, meter] : byPair_) {
+            BOOST_TEST(meter.mostBytes_ <= 2000 * (WindowSeconds + BurstSeconds));
+            BOOST_TEST(meter.mostProbes_ <= 4 * (WindowSeconds + BurstSeconds));
+        }
+    }
+};
+
+// Calls through every daemon, so many a second.
+void rush(FakeFleet &fleet, int perSecond, Millis span)
+{
+    const Millis end = fleet.now() + span;
+    for (int number = 0; fleet.now() < end; ++number) {
+        const std::string name = "c" + std::to_string(fleet.calls_.size());
+        fleet.call(static_cast<std::size_t>(number) % Instances, FakeCall{.token_ = name, .action_ = name});
+        fleet.runFor(Millis::fromMicros(1000000 / perSecond));
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(nothing_is_measured_before_a_budget_is_set)
+{
+    FakeFleet fleet(Instances, 41);
+    Auditor auditor(fleet);
+    fleet.runFor(Millis(20000));
+    BOOST_TEST(auditor.byDaemon_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(the_budget_holds_in_a_rush)
+{
+    FakeFleet fleet(Instances, 42);
+    Auditor auditor(fleet);
+    fleet.runFor(Millis(5000));
+    fleet.submit(0, standardTicket(1));
+    fleet.runFor(Millis(8000));
+    rush(fleet, 4000, Millis(12000));
+    BOOST_TEST(!auditor.byDaemon_.empty());
+    auditor.judge();
+}
+
+BOOST_AUTO_TEST_CASE(the_budget_holds_in_a_start_of_the_whole_fleet)
+{
+    FakeFleet fleet(Instances, 43);
+    fleet.runFor(Millis(5000));
+    fleet.submit(0, standardTicket(1));
+    fleet.runFor(Millis(8000));
+    Auditor auditor(fleet);
+    for (int round = 0; round < 5; ++round) {
+        for (std::size_t index = 0; index < Instances; ++index) {
+            fleet.kill(index);
+            fleet.start(index);
+        }
+        rush(fleet, 1000, Millis(2500));
+    }
+    auditor.judge();
+}
+
+BOOST_AUTO_TEST_CASE(the_budget_holds_while_everything_fails)
+{
+    FakeFleet fleet(Instances, 44);
+    Auditor auditor(fleet);
+    fleet.runFor(Millis(5000));
+    fleet.submit(0, standardTicket(1));
+    fleet.runFor(Millis(8000));
+    fleet.datagramLoss_ = 300;
+    for (std::size_t index = 0; index < Instances; ++index) {
+        fleet.at(fleet.now() + Millis(static_cast<std::int64_t>(index) * 300), [&fleet, index]() { fleet.failBackend(index, Millis(2000)); });
+        if (index % 3 == 0) {
+            fleet.at(fleet.now() + Millis(1000), [&fleet, index]() { fleet.kill(index); });
+        }
+    }
+    rush(fleet, 1000, Millis(12000));
+    auditor.judge();
+}
+
+BOOST_AUTO_TEST_CASE(no_probe_crosses_regions_while_the_near_region_is_healthy)
+{
+    FakeFleet fleet(Instances, 45);
+    fleet.runFor(Millis(5000));
+    fleet.submit(0, standardTicket(1));
+    fleet.runFor(Millis(8000));
+    int crossing = 0;
+    fleet.watch_ = [&](std::size_t index, const Effect &effect) {
+        const auto *datagram = std::get_if<SendDatagram>(&effect);
+        const bool probe = datagram != nullptr && std::holds_alternative<Probe>(datagram->datagram_);
+        crossing += probe && datagram->toRegion_ != fleet.world(index).fleet_.rows_.get(fleet.world(index).fleet_.self_)->region_ ? 1 : 0;
+    };
+    rush(fleet, 500, Millis(10000));
+    BOOST_TEST(crossing == 0);
+}
+
+// The sum over all daemons of a region stays within the pair's limit, however the takes fall.
+RC_BOOST_PROP(shares_of_a_pair_add_up_to_no_more_than_its_limit, ())
+{
+    FakeFleet fleet(Instances, *rc::gen::arbitrary<std::uint64_t>());
+    fleet.runFor(Millis(3000));
+    fleet.submit(0, standardTicket(1));
+    fleet.runFor(Millis(8000));
+    const Millis start = fleet.now();
+    double granted = 0;
+    const RegionId other(2);
+    for (const auto &[step, size] : *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(rc::gen::inRange(0, 100), rc::gen::inRange(1, 400)))) {
+        fleet.runFor(Millis(step));
+        for (std::size_t index = 0; index < Instances; ++index) {
+            if (Auditor::regionOfIndex(index) == "r0") {
+                World &world = fleet.world(index);
+                world.now_ = std::max(world.now_, fleet.now());
+                granted += takeMeasuring(world, other, Bytes(size), false) ? size : 0;
+            }
+        }
+        RC_ASSERT(granted <= 2000 * ((fleet.now() - start).fraction() / 1000 + BurstSeconds) + 1e-6);
+    }
+}
--- a/test/fake/fake_fleet.cpp
+++ b/test/fake/fake_fleet.cpp
@@ -258,7 +258,8 @@
     FakeInstance &instance = instances_[index];
     if (instance.backendUp_ && instance.announcing_) {
         const Address address{FirstIp + static_cast<std::uint32_t>(index), 7410};
-        deliver(index, instance.life_, BackendAnnounced{ServiceName(service_), address, Slots(instance.slots_), instance.announces_});
+        const Incarnation life(static_cast<std::uint64_t>(instance.backendLife_) + 1);
+        deliver(index, instance.life_, BackendAnnounced{ServiceName(service_), address, Slots(instance.slots_), instance.announces_, life});
     }
     at(now_ + AnnounceInterval, [this, index]() { announce(index); });
 }
--- a/test/standin/backend.cpp
+++ b/test/standin/backend.cpp
@@ -75,8 +75,11 @@
     // Sends one announcement.
     Task<> announce()
     {
-        const json::object body{
-            {"service", settings_.service_}, {"address", toText(settings_.listen_)}, {"slots", settings_.slots_}, {"state", draining_ ? "draining" : "ready"}};
+        const json::object body{{"service", settings_.service_},
+                                {"address", toText(settings_.listen_)},
+                                {"slots", settings_.slots_},
+                                {"state", draining_ ? "draining" : "ready"},
+                                {"started", startedAt_}};
         co_await askHttp(context_, settings_.announce_, makeRequest(http::verb::post, "/announce", json::serialize(body)), AnnounceTimeout);
     }
 
@@ -207,6 +210,8 @@
     int slotsUsed_ = 0;
     int running_ = 0;
     bool draining_ = false;
+    // Tells this process from an earlier one on the same address.
+    std::int64_t startedAt_ = std::chrono::system_clock::now().time_since_epoch().count();
 };
 
 // Reads the command line.
