--- /dev/null
+++ b/test/codec_test.cpp
@@ -0,0 +1,154 @@
+// Encoding: messages survive it, forged bytes give numbered errors, and charged sizes are never too small.
+#define BOOST_TEST_MODULE codec
+#include "core/error.h"
+#include "fake/fake_fleet.h"
+#include "measure/budget_func.h"
+#include "wire/codec.h"
+#include "wire/store_json.h"
+#include "wire/ticket_json.h"
+
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace radishford; // NOLINT: tests speak of nothing else
+
+namespace {
+
+constexpr std::int64_t IpAndUdpHeader = 28;
+
+std::string anyText()
+{
+    return *rc::gen::resize(30, rc::gen::string<std::string>());
+}
+
+InstanceRecord anyRecord()
+{
+    InstanceRecord record;
+    record.name_ = InstanceName(anyText());
+    record.failureDomain_ = anyText();
+    record.service_ = ServiceName(anyText());
+    record.address_ = Address{*rc::gen::arbitrary<std::uint32_t>(), *rc::gen::arbitrary<std::uint16_t>()};
+    record.incarnation_ = Incarnation(*rc::gen::arbitrary<std::uint64_t>());
+    record.version_ = *rc::gen::arbitrary<std::uint32_t>();
+    record.health_ = static_cast<Health>(*rc::gen::inRange(0, 4));
+    record.backend_ = static_cast<BackendState>(*rc::gen::inRange(0, 4));
+    return record;
+}
+
+GossipHeader anyHeader()
+{
+    GossipHeader header;
+    header.sender_ = InstanceName(anyText());
+    header.tableHash_ = *rc::gen::arbitrary<std::uint64_t>();
+    const int records = *rc::gen::inRange(0, 6);
+    for (int count = 0; count < records; ++count) {
+        header.records_.push_back(anyRecord());
+    }
+    return header;
+}
+
+// One datagram of each kind.
+std::vector<Datagram> anyDatagrams()
+{
+    return {Ping{anyHeader()},
+            Ack{anyHeader()},
+            PingRequest{anyHeader(), Address{1, 2}},
+            Probe{3, ServiceName(anyText())},
+            ProbeReply{4, InstanceName(anyText()), LoadReport{Slots(1), Slots(2), Slots(3), Millis(4)}},
+            SuspectNotice{5, Fingerprint(6), 2, true},
+            SuspectAck{7}};
+}
+
+} // namespace
+
+RC_BOOST_PROP(datagrams_survive_and_are_charged_in_full, ())
+{
+    for (const Datagram &datagram : anyDatagrams()) {
+        const std::string bytes = encodeDatagram(datagram);
+        RC_ASSERT(encodeDatagram(decodeDatagram(bytes)) == bytes);
+        RC_ASSERT(networkSize(datagram).value() >= static_cast<std::int64_t>(bytes.size()) + IpAndUdpHeader);
+    }
+}
+
+// Cut, changed or random bytes are decoded or give a numbered error; nothing else.
+RC_BOOST_PROP(forged_datagrams_give_numbered_errors, ())
+{
+    std::string bytes = encodeDatagram(Ping{anyHeader()});
+    const std::size_t position = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    bytes[position] = *rc::gen::arbitrary<char>();
+    bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
+    try {
+        decodeDatagram(bytes);
+    } catch (const Error &problem) {
+        RC_ASSERT(problem.code() == ResultCode::MessageMalformed);
+    }
+}
+
+RC_BOOST_PROP(forged_frames_give_numbered_errors, ())
+{
+    Offer offer;
+    offer.callToken_ = anyText();
+    std::string bytes = encodeFrame(offer).substr(FrameLengthBytes);
+    const std::size_t position = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    bytes[position] = *rc::gen::arbitrary<char>();
+    bytes += *rc::gen::string<std::string>();
+    try {
+        decodeFrame(bytes);
+    } catch (const Error &problem) {
+        RC_ASSERT(problem.code() == ResultCode::MessageMalformed);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(oversized_messages_give_numbered_errors)
+{
+    BOOST_CHECK_THROW(encodeFrame(BodyChunk{1, std::string(MaxFrameBytes, 'x')}), Error);
+    BOOST_CHECK_THROW(decodeFrameLength("\xff\xff\xff\x7f"), Error);
+    Ping ping;
+    ping.header_.records_.resize(40);
+    BOOST_CHECK_THROW(encodeDatagram(ping), Error);
+}
+
+BOOST_AUTO_TEST_CASE(tickets_survive_frames_and_json)
+{
+    Ticket ticket = standardTicket(9, "id");
+    ticket.objects_.push_back(TicketObject{"i1", TicketNumber(9), DrainSpec{true}});
+    ticket.objects_.push_back(TicketObject{"00ff", TicketNumber(9), QuarantineSpec{false}});
+    const std::string text = boost::json::serialize(toJson(ticket));
+    BOOST_TEST(boost::json::serialize(toJson(parseTicket(text))) == text);
+    TicketBatch batch;
+    batch.objects_ = ticket.objects_;
+    const std::string bytes = encodeFrame(batch);
+    BOOST_TEST((encodeFrame(decodeFrame(std::string_view(bytes).substr(FrameLengthBytes))) == bytes));
+}
+
+BOOST_AUTO_TEST_CASE(bad_tickets_name_the_key)
+{
+    const std::vector<std::pair<std::string, ResultCode>> cases{
+        {"{", ResultCode::BadJson},
+        {"[]", ResultCode::WrongType},
+        {R"({"author":"a","reason":"r"})", ResultCode::MissingKey},
+        {R"({"author":"a","reason":"r","objects":[],"extra":1})", ResultCode::UnknownKey},
+        {R"({"author":"a","reason":"r","objects":[{"kind":"cat","name":"x"}]})", ResultCode::OutOfRange},
+        {R"({"author":"a","reason":"r","objects":[{"kind":"drain","name":"x","draining":1}]})", ResultCode::WrongType},
+        {R"({"author":"a","reason":"r","objects":[{"kind":"drain","name":"x"},{"kind":"drain","name":"x"}]})", ResultCode::DuplicateName},
+        {R"({"author":"a","reason":"r","objects":[{"kind":"service","name":"x","classes":[{"name":"c","queue":-1}]}]})", ResultCode::OutOfRange},
+        {R"({"author":"a","reason":"r","objects":[{"kind":"service","name":"x","classes":[{"name":"c"},{"name":"c"}]}]})", ResultCode::DuplicateName},
+    };
+    for (const auto &[text, code] : cases) {
+        try {
+            parseTicket(text);
+            BOOST_ERROR("accepted: " + text);
+        } catch (const Error &problem) {
+            BOOST_TEST((problem.code() == code), text + " gave " + problem.what());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(malformed_answers_of_the_store_give_numbered_errors)
+{
+    BOOST_CHECK_THROW(parseStoreAnswer(TicketRead{}, "{"), Error);
+    BOOST_CHECK_THROW(parseStoreAnswer(TicketRead{}, R"({"results":[{"values":["{}"]}]})"), Error);
+    BOOST_CHECK_THROW(parseStoreAnswer(ClaimDelete{}, R"({"results":[{"done":false,"current":"{}"}]})"), Error);
+    BOOST_TEST(parseStoreAnswer(TicketRead{}, R"({"results":[{"values":[]}]})").ok_);
+}
--- a/test/outcome_property_test.cpp
+++ b/test/outcome_property_test.cpp
@@ -115,7 +115,7 @@
         action.class_ = Classes[number % Classes.size()];
         action.key_ = action.class_ == std::string("keyed") ? action.action_ : "";
         action.mayRide_ = number % 5 != 0;
-        fleet.at(start + Millis(number * 50), [&fleet, action, number]() { act(fleet, action, 1, number % Instances); });
+        fleet.at(start + Millis(50) * number, [&fleet, action, number]() { act(fleet, action, 1, number % Instances); });
     }
     fleet.runFor(Millis(30000));
 }
