--- /dev/null
+++ b/bench/policy_bench.cpp
@@ -0,0 +1,192 @@
+// Tail latency and cost of measuring of each strategy, under noisy neighbours, stragglers and a drain; ratios in one run.
+#include "fake/fake_fleet.h"
+#include "measure/choose_func.h"
+
+#include <cmath>
+#include <cstdio>
+#include <numeric>
+
+namespace radishford {
+
+namespace {
+
+// Bytes of one call without its measuring part: request, answer and their frames.
+constexpr double CallBytes = 1500;
+constexpr Millis RunTime{12000};
+constexpr Millis WarmUp{1000};
+constexpr std::size_t FirstStraggler = 1;
+constexpr std::size_t SecondStraggler = 6;
+constexpr std::size_t Drained = 4;
+
+// One deployment's sizes.
+struct Deployment {
+    const char *name_;
+    std::size_t upstreams_;
+    int slots_;
+    // Calls a second, over all daemons.
+    int callsPerSecond_;
+};
+
+constexpr std::array<Deployment, 2> Deployments{{{"yukiguni booking", 10, 12, 7000}, {"paroisse parish-desk", 8, 18, 8000}}};
+
+// What one run gave.
+struct RunResult {
+    std::vector<double> latencies_;
+    std::size_t failed_ = 0;
+    double measuringBytes_ = 0;
+    double crossingProbes_ = 0;
+    double offers_ = 0;
+};
+
+// Work times: a base with jitter, slowed while a noisy neighbour is busy, and always at stragglers.
+class NoisyWork
+{
+public:
+    NoisyWork(std::size_t servers, std::uint64_t seed)
+        : random_(seed)
+        , busyUntil_(servers)
+        , quietUntil_(servers)
+    {
+    }
+
+    Millis draw(std::size_t server, Millis now)
+    {
+        constexpr double BaseMs = 5;
+        constexpr double BusyFactor = 6;
+        constexpr double StragglerFactor = 3;
+        if (now >= quietUntil_[server] && now >= busyUntil_[server]) {
+            busyUntil_[server] = now + Millis(static_cast<std::int64_t>(random_.below(25)) + 5);
+            quietUntil_[server] = busyUntil_[server] + Millis(static_cast<std::int64_t>(random_.below(200)) + 50);
+        }
+        const double jitter = -std::log(1 - random_.unit());
+        double milliseconds = BaseMs * (0.5 + 0.5 * jitter);
+        milliseconds *= now < busyUntil_[server] ? BusyFactor : 1;
+        milliseconds *= server == FirstStraggler || server == SecondStraggler ? StragglerFactor : 1;
+        return Millis::fromMicros(static_cast<std::int64_t>(milliseconds * 1000));
+    }
+
+private:
+    Random random_;
+    std::vector<Millis> busyUntil_;
+    std::vector<Millis> quietUntil_;
+};
+
+// The standard ticket with the budget of the worked ticket of yukiguni.
+Ticket benchTicket()
+{
+    Ticket ticket = standardTicket(1);
+    auto &budget = std::get<BudgetSpec>(ticket.objects_[1].spec_);
+    budget.bytesPerSecond_ = Bytes(40000);
+    budget.probesPerSecond_ = 20;
+    for (RegionPairBudget &pair : budget.regionPairs_) {
+        pair.bytesPerSecond_ = Bytes(6000);
+    }
+    return ticket;
+}
+
+// Runs one strategy over one deployment.
+RunResult run(const Deployment &deployment, const WorldSettings &settings, double loadFactor, std::uint64_t seed)
+{
+    FakeFleet fleet(deployment.upstreams_, seed, settings);
+    for (FakeInstance &instance : fleet.instances_) {
+        instance.slots_ = deployment.slots_;
+    }
+    NoisyWork work(deployment.upstreams_, seed);
+    fleet.workOf_ = [&](std::size_t server) { return work.draw(server, fleet.now()); };
+    fleet.runFor(Millis(5000));
+    fleet.submit(0, benchTicket());
+    fleet.runFor(Millis(6000));
+    RunResult result;
+    fleet.watch_ = [&](std::size_t index, const Effect &effect) {
+        const auto *datagram = std::get_if<SendDatagram>(&effect);
+        const bool probe = datagram != nullptr && std::holds_alternative<Probe>(datagram->datagram_);
+        const RegionId own = fleet.world(index).fleet_.rows_.get(fleet.world(index).fleet_.self_)->region_;
+        result.crossingProbes_ += probe && datagram->toRegion_ != own ? 1 : 0;
+    };
+    const Millis start = fleet.now();
+    fleet.at(start + Millis(RunTime.count() / 2), [&]() { fleet.instances_[Drained].announces_ = BackendState::Draining; });
+    const auto gap = Millis::fromMicros(static_cast<std::int64_t>(1e6 / (deployment.callsPerSecond_ * loadFactor)));
+    for (std::uint64_t number = 0; fleet.now() < start + RunTime; ++number) {
+        const std::string name = std::to_string(number);
+        fleet.call(number % deployment.upstreams_, FakeCall{.token_ = name, .action_ = name});
+        fleet.runFor(gap);
+    }
+    fleet.runFor(Millis(3000));
+    for (const CallResult &call : fleet.results_) {
+        if (call.startedAt_ < start + WarmUp) {
+            continue;
+        }
+        if (call.answer_) {
+            result.latencies_.push_back((call.endedAt_ - call.startedAt_).fraction());
+        } else {
+            ++result.failed_;
+        }
+    }
+    std::sort(result.latencies_.begin(), result.latencies_.end());
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        for (const auto &[key, traffic] : fleet.world(index).counters_.traffic_) {
+            result.measuringBytes_ += key.purpose_ == Purpose::Measuring ? static_cast<double>(traffic.bytes_.value()) : 0;
+        }
+        result.offers_ += static_cast<double>(fleet.world(index).counters_.get(Counter::Attempts));
+    }
+    return result;
+}
+
+// The latency below which a part of the calls lies, in milliseconds.
+double quantile(const RunResult &result, double part)
+{
+    return result.latencies_.empty() ? 0 : result.latencies_[static_cast<std::size_t>(part * static_cast<double>(result.latencies_.size() - 1))];
+}
+
+// Prints one line; ratios are against the first baseline.
+void print(const char *name, const RunResult &result, double baseP99)
+{
+    const double calls = static_cast<double>(result.latencies_.size() + result.failed_);
+    std::printf(
+        "  %-26s p50 %6.2f  p99 %7.2f  p99.9 %7.2f ms  p99/random %.2f  failed %.2f%%  measuring %.2f%% of call bytes  offers/call %.2f  probes across %g\n",
+        name, quantile(result, 0.5), quantile(result, 0.99), quantile(result, 0.999), quantile(result, 0.99) / baseP99,
+        100.0 * static_cast<double>(result.failed_) / calls, 100 * result.measuringBytes_ / (calls * CallBytes), result.offers_ / calls,
+        result.crossingProbes_);
+}
+
+// Compares strategies, with offers that bind late and with sending at once.
+void compareStrategies(const Deployment &deployment)
+{
+    std::printf("%s: %zu upstreams of %d slots, %d calls/s\n", deployment.name_, deployment.upstreams_, deployment.slots_, deployment.callsPerSecond_);
+    for (const bool lateBinding : {false, true}) {
+        std::printf(" %s\n", lateBinding ? "offers bind late" : "sent at once");
+        WorldSettings settings;
+        settings.lateBinding_ = lateBinding;
+        settings.strategy_ = StrategyKind::Random;
+        const double baseP99 = quantile(run(deployment, settings, 1, 1), 0.99);
+        for (std::uint8_t kind = 0; kind < static_cast<std::uint8_t>(StrategyKind::Count); ++kind) {
+            settings.strategy_ = static_cast<StrategyKind>(kind);
+            print(nameOf(settings.strategy_).data(), run(deployment, settings, 1, 1), baseP99);
+        }
+    }
+}
+
+// Goodput from below to far beyond capacity.
+void sweepLoad(const Deployment &deployment)
+{
+    std::printf("%s: goodput by load\n", deployment.name_);
+    for (const double factor : {0.5, 1.0, 1.25, 1.5, 2.0, 3.0}) {
+        const RunResult result = run(deployment, WorldSettings(), factor, 2);
+        const double seconds = (RunTime - WarmUp).fraction() / 1000;
+        std::printf("  load %.2f  answered %.0f/s  p99 %.2f ms  offers/call %.2f\n", factor, static_cast<double>(result.latencies_.size()) / seconds,
+                    quantile(result, 0.99), result.offers_ / static_cast<double>(result.latencies_.size() + result.failed_));
+    }
+}
+
+} // namespace
+
+} // namespace radishford
+
+int main()
+{
+    for (const radishford::Deployment &deployment : radishford::Deployments) {
+        radishford::compareStrategies(deployment);
+    }
+    radishford::sweepLoad(radishford::Deployments[0]);
+    return 0;
+}
--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -26,7 +26,7 @@
 // Weight of a new latency in the moving average.
 constexpr double LatencyWeight = 0.1;
 // Bytes that a load report adds to a message.
-constexpr Bytes ReportBytes{20};
+constexpr Bytes ReportBytes{11};
 constexpr double PermilleScale = 1000.0;
 
 // The row of an exchange, or an invalid id. Exchanges that have ended are counted.
@@ -243,7 +243,7 @@
 {
     Admission &row = *world.admissions_.rows_.get(id);
     row.state_ = AdmissionState::Queued;
-    row.needsGo_ = true;
+    row.needsGo_ = world.settings_.lateBinding_ || !row.offer_.bodyRides_;
     ClassQueue &queue = queueOf(world, row.classIndex_);
     queue.waiting_.push_back(id);
     queue.waitingCount_ += Slots(1);
@@ -252,6 +252,8 @@
     replyOffer(world, row, Verdict::Queued);
 }
 
+void proceed(World &world, AdmissionId id);
+
 // Admits a request that waited; it needs Go, since its outbound side may have gone elsewhere.
 void admitWaiting(World &world, AdmissionId id)
 {
@@ -259,6 +261,10 @@
     releasePlace(world, row);
     row.state_ = AdmissionState::AwaitingGo;
     takeSlot(world, id);
+    if (!row.needsGo_) {
+        proceed(world, id);
+        return;
+    }
     world.timers_.add(world.now_ + GoTimeout, TimerKind::GoWait, id.packed());
     replyOffer(world, row, Verdict::Admitted);
 }
--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -147,6 +147,10 @@
 {
     Attempt &attempt = *world.calls_.attempts_.get(id);
     if (attempt.state_ == AttemptState::Offered) {
+        if (!world.settings_.lateBinding_) {
+            letRun(world, id);
+            return;
+        }
         attempt.state_ = AttemptState::Queued;
         routeAgain(world, attempt.call_);
     }
--- a/src/measure/choose.cpp
+++ b/src/measure/choose.cpp
@@ -211,7 +211,7 @@
         return InstanceId{};
     }
     ChoiceContext context{world.random_, world.calls_.roundRobin_};
-    return (*group)[strategyOf(StrategyKind::LoadThenLatency)(context, *group)].instance_;
+    return (*group)[strategyOf(world.settings_.strategy_)(context, *group)].instance_;
 }
 
 void takeReport(World &world, Instance &instance, const LoadReport &report)
--- a/src/measure/choose_func.h
+++ b/src/measure/choose_func.h
@@ -5,6 +5,7 @@
 #include "core/random.h"
 #include "fleet/instance_type.h"
 #include "measure/load_type.h"
+#include "measure/strategy_type.h"
 
 #include <cstdint>
 #include <string_view>
@@ -42,16 +43,6 @@
 // Returns the index of the chosen candidate. There is at least one.
 using Strategy = std::size_t (*)(ChoiceContext &context, const std::vector<Candidate> &candidates);
 
-// The strategies that can be measured against each other.
-enum class StrategyKind : std::uint8_t {
-    LoadThenLatency, // Samples a few, avoids full ones, then takes the fastest. Used by the daemon.
-    Random, // Any.
-    RoundRobin, // Each in turn.
-    LeastInFlight, // Fewest own outstanding attempts of all.
-    TwoChoices, // Fewer own outstanding attempts of two.
-    Count, // Number of strategies.
-};
-
 // The function of a strategy.
 Strategy strategyOf(StrategyKind kind);
 
--- a/src/wire/serialize.h
+++ b/src/wire/serialize.h
@@ -8,6 +8,7 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/cereal.hpp>
 
+#include <algorithm>
 #include <type_traits>
 
 namespace radishford {
@@ -151,10 +152,31 @@
     all(archive, value.ip_, value.port_);
 }
 
+// Writes or reads a count of slots in two bytes.
+template<typename Archive>
+void smallSlots(Archive &archive, Slots &value)
+{
+    auto raw = static_cast<std::uint16_t>(std::clamp(value.value(), 0, 0xFFFF));
+    archive(raw);
+    value = Slots(raw);
+}
+
+// A report takes one byte when it is left out, and eleven when it is there.
 template<typename Archive>
 void fields(Archive &archive, LoadReport &value)
 {
-    all(archive, value.inFlight_, value.queued_, value.limit_, value.latency_);
+    auto present = static_cast<std::uint8_t>(value.limit_.value() > 0 ? 1 : 0);
+    archive(present);
+    if (present == 0) {
+        value = LoadReport{};
+        return;
+    }
+    smallSlots(archive, value.inFlight_);
+    smallSlots(archive, value.queued_);
+    smallSlots(archive, value.limit_);
+    auto micros = static_cast<std::uint32_t>(std::clamp<std::int64_t>(value.latency_.micros(), 0, 0xFFFFFFFF));
+    archive(micros);
+    value.latency_ = Millis::fromMicros(micros);
 }
 
 template<typename Archive>
--- a/src/world/world_settings.h
+++ b/src/world/world_settings.h
@@ -4,6 +4,7 @@
 #include "core/address.h"
 #include "core/clock_type.h"
 #include "core/units_type.h"
+#include "measure/strategy_type.h"
 
 #include <cstddef>
 #include <string>
@@ -36,6 +37,10 @@
     double storePollsPerSecond_ = 2.0;
     // Writes by the whole fleet.
     double storeWritesPerSecond_ = 300.0;
+    // Strategy of choice; others than the first are baselines for measurements.
+    StrategyKind strategy_ = StrategyKind::LoadThenLatency;
+    // False lets queued requests run without Go and makes no second offers: a baseline for measurements.
+    bool lateBinding_ = true;
 };
 
 } // namespace radishford
--- a/test/budget_test.cpp
+++ b/test/budget_test.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::size_t Instances = 12;
-constexpr Bytes ReportBytes{20};
+constexpr Bytes ReportBytes{11};
 constexpr Millis Window{10000};
 constexpr double WindowSeconds = 10;
 // A bucket holds what it earns in one second.
--- a/test/fake/fake_fleet.cpp
+++ b/test/fake/fake_fleet.cpp
@@ -21,14 +21,14 @@
 
 } // namespace
 
-FakeFleet::FakeFleet(std::size_t instances, std::uint64_t seed, const std::string &service)
+FakeFleet::FakeFleet(std::size_t instances, std::uint64_t seed, const WorldSettings &common)
     : instances_(instances)
-    , service_(service)
     , random_(seed)
 {
     const std::vector<Place> places{{"r0-a", "r0"}, {"r0-b", "r0"}, {"r1-a", "r1"}, {"r1-b", "r1"}, {"r2-a", "r2"}, {"r2-b", "r2"}};
     for (std::size_t index = 0; index < instances; ++index) {
         WorldSettings &settings = instances_[index].settings_;
+        settings = common;
         settings.name_ = InstanceName("i" + std::to_string(index));
         settings.address_ = addressOf(index);
         settings.adminAddress_ = Address{settings.address_.ip_, 7404};
@@ -348,7 +348,8 @@
     }
     ++instance.running_;
     instance.mostRunning_ = std::max(instance.mostRunning_, instance.running_);
-    at(now_ + instance.work_, [this, index, life, handle, link, backendLife = instance.backendLife_]() {
+    const Millis work = workOf_ ? workOf_(index) : instance.work_;
+    at(now_ + work, [this, index, life, handle, link, backendLife = instance.backendLife_]() {
         if (instances_[index].backendLife_ == backendLife) {
             --instances_[index].running_;
             link->running_ = false;
--- a/test/fake/fake_fleet.h
+++ b/test/fake/fake_fleet.h
@@ -96,7 +96,7 @@
 {
 public:
     // Instances i stand in failure domain i modulo six: regions r0 to r2 with domains a and b.
-    FakeFleet(std::size_t instances, std::uint64_t seed, const std::string &service = "booking");
+    FakeFleet(std::size_t instances, std::uint64_t seed, const WorldSettings &settings = WorldSettings());
 
     // Starts or restarts an instance with an empty memory.
     void start(std::size_t index);
@@ -150,6 +150,8 @@
     std::map<std::string, int> executionsByToken_;
     // Backend servers that failed by a killing request.
     int killed_ = 0;
+    // Work of each request, when the instances' fixed work does not serve.
+    std::function<Millis(std::size_t)> workOf_;
     // Chance of a lost or doubled datagram, in thousandths.
     std::uint64_t datagramLoss_ = 0;
     // Chance of a message that takes long, in thousandths.
@@ -205,7 +207,7 @@
     void apply(std::size_t index, const EndSpan &effect);
     void apply(std::size_t index, const Exit &effect);
 
-    std::string service_;
+    std::string service_ = "booking";
     Random random_;
     Millis now_{1000};
     std::uint64_t order_ = 0;
