Spill to other regions when the near choice is full; hedging of idempotent calls within the retry budget

Cause: p99 was bound by requests caught at a server in its busy milliseconds, and by the region that the drain left with one server. Change: a full near choice is compared with one of other regions; an idempotent call that runs for three times the mean latency is tried elsewhere too, paid from the retry budget; suspects are counted by distinct failures (two at the same time were one before); queued and refused offers imply a full server, so they carry no report. Ruled out: more samples (with four near candidates the sample is all of them).

--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -157,12 +157,16 @@
         std::printf(" %s\n", lateBinding ? "offers bind late" : "sent at once");
         WorldSettings settings;
         settings.lateBinding_ = lateBinding;
+        settings.hedging_ = false;
         settings.strategy_ = StrategyKind::Random;
         const double baseP99 = quantile(run(deployment, settings, 1, 1), 0.99);
         for (std::uint8_t kind = 0; kind < static_cast<std::uint8_t>(StrategyKind::Count); ++kind) {
             settings.strategy_ = static_cast<StrategyKind>(kind);
             print(nameOf(settings.strategy_).data(), run(deployment, settings, 1, 1), baseP99);
         }
+        settings.strategy_ = StrategyKind::LoadThenLatency;
+        settings.hedging_ = true;
+        print("load-then-latency, hedged", run(deployment, settings, 1, 1), baseP99);
     }
 }
 
--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -190,8 +190,7 @@
 // Answers an offer.
 void replyOffer(World &world, const Admission &row, Verdict verdict)
 {
-    const LoadReport report = verdict == Verdict::Queued ? reportFor(world, row.offer_.sender_) : LoadReport{};
-    world.emit(ReplyOffer{row.exchange_, OfferReply{row.offer_.attempt_, verdict, 0, report}});
+    world.emit(ReplyOffer{row.exchange_, OfferReply{row.offer_.attempt_, verdict, 0}});
 }
 
 // Refuses an offer.
@@ -202,8 +201,7 @@
     if (code == ResultCode::Quarantined) {
         world.counters_.add(Counter::Quarantines);
     }
-    const LoadReport report = reportFor(world, event.offer_.sender_);
-    world.emit(ReplyOffer{event.exchange_, OfferReply{event.offer_.attempt_, Verdict::Refused, numberOf(code), report}});
+    world.emit(ReplyOffer{event.exchange_, OfferReply{event.offer_.attempt_, Verdict::Refused, numberOf(code)}});
     const std::string detail = world.settings_.name_.value() + " " + event.offer_.service_.value() + "/" + event.offer_.class_.value();
     world.emit(EndSpan{event.offer_.trace_, drawSpan(world), event.offer_.parentSpan_, "admission", detail, world.now_, world.now_, code});
 }
@@ -595,7 +593,7 @@
     } else {
         removeAdmission(world, id, code);
     }
-    world.emit(FailExchange{row.exchange_, Failed{row.offer_.attempt_, numberOf(code), reportFor(world, row.offer_.sender_)}});
+    world.emit(FailExchange{row.exchange_, Failed{row.offer_.attempt_, numberOf(code)}});
 }
 
 } // namespace radishford
--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -1,6 +1,7 @@
 // Attempts: what is known of each offer, and what a call may conclude from it.
 #include "call/attempt_func.h"
 #include "call/call_func.h"
+#include "call/suspect_func.h"
 #include "fleet/instance_func.h"
 #include "measure/choose_func.h"
 #include "world/world.h"
@@ -16,6 +17,9 @@
 constexpr Millis OfferTimeout{250};
 // A withdrawal without confirmation for this long leaves the outcome unknown.
 constexpr Millis WithdrawTimeout{500};
+// A running call is tried elsewhere too after so many times the instance's mean latency, and no sooner than so many of the least.
+constexpr std::int64_t HedgeFactor = 3;
+constexpr Millis HedgeLeast{4};
 // Backend server failures after which a call is not tried again.
 constexpr std::int32_t MaxBackendFailures = 2;
 
@@ -54,6 +58,18 @@
     }
 }
 
+// Goes on with a call after the end of one attempt: waits for one that runs, or tries elsewhere.
+void goOn(World &world, CallId id)
+{
+    Call &call = *world.calls_.calls_.get(id);
+    if (anyMayRun(world, call)) {
+        call.state_ = CallState::Running;
+        return;
+    }
+    call.state_ = call.attempts_.empty() ? CallState::Routing : CallState::Offering;
+    routeAgain(world, id);
+}
+
 // An attempt ended without running the request: tries elsewhere, or ends the call.
 void concludeNotRun(World &world, AttemptId id, ResultCode code, bool drop)
 {
@@ -69,12 +85,11 @@
         }
         return;
     }
-    if (isFinal(code)) {
+    if (isFinal(code) && !anyMayRun(world, call)) {
         failCall(world, attempt.call_, code);
         return;
     }
-    call.state_ = call.attempts_.empty() ? CallState::Routing : CallState::Offering;
-    routeAgain(world, attempt.call_);
+    goOn(world, attempt.call_);
 }
 
 // True when a call whose request may have run can be run again.
@@ -94,12 +109,18 @@
     call.maybeRan_ = true;
     call.lastCode_ = code;
     call.backendFailures_ += code == ResultCode::BackendFailed ? 1 : 0;
-    if (isFinal(code) || !mayRerun(call)) {
-        failCall(world, attempt.call_, call.state_ == CallState::Ending ? ResultCode::DeadlineUnknown : code);
+    if (call.state_ == CallState::Ending) {
+        if (call.attempts_.empty()) {
+            failCall(world, attempt.call_, ResultCode::DeadlineUnknown);
+        }
         return;
     }
-    call.state_ = call.attempts_.empty() ? CallState::Routing : CallState::Offering;
-    routeAgain(world, attempt.call_);
+    const bool otherRuns = call.idempotent_ && anyMayRun(world, call);
+    if (!otherRuns && (isFinal(code) || !mayRerun(call))) {
+        failCall(world, attempt.call_, code);
+        return;
+    }
+    goOn(world, attempt.call_);
 }
 
 // An answer broke after its head was passed on: the caller must see that it is not whole.
@@ -127,6 +148,20 @@
     }
 }
 
+// Sets the time after which an idempotent call that still runs is tried elsewhere too.
+void startHedgeTimer(World &world, AttemptId id)
+{
+    const Attempt &attempt = *world.calls_.attempts_.get(id);
+    const Call &call = *world.calls_.calls_.get(attempt.call_);
+    const Instance *instance = world.fleet_.rows_.get(attempt.instance_);
+    const bool allowed = world.settings_.hedging_ && call.idempotent_ && call.replayable_ && call.mayRide_;
+    if (!allowed || instance == nullptr) {
+        return;
+    }
+    const Millis expected = std::max(instance->report_.latency_, HedgeLeast);
+    world.timers_.add(world.now_ + expected * HedgeFactor, TimerKind::Hedge, id.packed());
+}
+
 // An offer was admitted.
 void takeAdmitted(World &world, AttemptId id)
 {
@@ -139,7 +174,12 @@
     if (!runsAlready) {
         world.emit(SendGo{id});
     }
+    if (attempt.isHedge_) {
+        world.calls_.attempts_.get(id)->state_ = AttemptState::Running;
+        return;
+    }
     letRun(world, id);
+    startHedgeTimer(world, id);
 }
 
 // An offer was queued: it cannot run without Go, so another may be made.
@@ -147,6 +187,13 @@
 {
     Attempt &attempt = *world.calls_.attempts_.get(id);
     if (attempt.state_ == AttemptState::Offered) {
+        if (attempt.isHedge_) {
+            // A second run that must wait helps nobody.
+            attempt.state_ = AttemptState::Queued;
+            withdrawAttempt(world, id);
+            endAttempt(world, id, ResultCode::Withdrawn, true);
+            return;
+        }
         if (!world.settings_.lateBinding_) {
             letRun(world, id);
             return;
@@ -175,6 +222,16 @@
     }
 }
 
+// Takes from a verdict what it says about load.
+void noteVerdict(World &world, const Attempt &attempt, const OfferReply &reply)
+{
+    Instance *instance = world.fleet_.rows_.get(attempt.instance_);
+    const bool full = reply.verdict_ == Verdict::Queued || static_cast<ResultCode>(reply.code_) == ResultCode::Overloaded;
+    if (instance != nullptr && full) {
+        noteFull(world, *instance);
+    }
+}
+
 // Builds the offer of an attempt.
 Offer makeOffer(World &world, const Call &call, CallId callId, AttemptId id)
 {
@@ -197,6 +254,30 @@
 
 } // namespace
 
+bool anyMayRun(const World &world, const Call &call)
+{
+    return std::any_of(call.attempts_.begin(), call.attempts_.end(), [&](AttemptId id) { return mayRun(*world.calls_.attempts_.get(id)); });
+}
+
+void expireHedge(World &world, std::uint64_t row)
+{
+    const AttemptId id = AttemptId::fromPacked(row);
+    const Attempt *attempt = world.calls_.attempts_.get(id);
+    if (attempt == nullptr || attempt->state_ != AttemptState::Running) {
+        return;
+    }
+    const CallId callId = attempt->call_;
+    const Call &call = *world.calls_.calls_.get(callId);
+    const bool alone = call.attempts_.size() == 1 && call.state_ == CallState::Running;
+    if (!alone || isSuspect(world, call.fingerprint_) || call.backendFailures_ > 0) {
+        return;
+    }
+    const InstanceId instance = chooseInstance(world, call);
+    if (instance.isValid() && payForRerun(world, call)) {
+        startAttempt(world, callId, instance);
+    }
+}
+
 bool mayRun(const Attempt &attempt)
 {
     switch (attempt.state_) {
@@ -217,14 +298,15 @@
     attempt.call_ = callId;
     attempt.instance_ = instanceId;
     attempt.instanceName_ = instance.record_.name_;
-    attempt.bodyRode_ = call.mayRide_ && call.attempts_.empty();
+    attempt.isHedge_ = call.state_ == CallState::Running;
+    attempt.bodyRode_ = call.mayRide_ && (call.attempts_.empty() || attempt.isHedge_);
     attempt.startedAt_ = world.now_;
     attempt.isRetry_ = call.attemptsStarted_ > 0;
     attempt.span_ = drawSpan(world);
     const AttemptId id = world.calls_.attempts_.create(attempt);
     call.attempts_.push_back(id);
     ++call.attemptsStarted_;
-    call.state_ = CallState::Offering;
+    call.state_ = attempt.isHedge_ ? CallState::Running : CallState::Offering;
     ++instance.outstanding_;
     ++instance.startedSinceReport_;
     world.counters_.add(Counter::Attempts);
@@ -273,7 +355,7 @@
         return;
     }
     noteHeard(world, attempt->instance_);
-    noteReport(world, *attempt, event.reply_.report_);
+    noteVerdict(world, *attempt, event.reply_);
     switch (event.reply_.verdict_) {
     case Verdict::Admitted:
         takeAdmitted(world, event.attempt_);
@@ -306,7 +388,6 @@
     if (attempt == nullptr) {
         return;
     }
-    noteReport(world, *attempt, event.report_);
     if (attempt->state_ == AttemptState::Relaying) {
         abortRelay(world, *attempt);
     } else if (provesNotRun(event.code_)) {
--- a/src/call/attempt_func.h
+++ b/src/call/attempt_func.h
@@ -34,6 +34,9 @@
 // A withdrawal's confirmation is overdue.
 void expireWithdrawal(World &world, std::uint64_t row);
 
+// An attempt of an idempotent call runs for long: tries it elsewhere too, if the retry budget allows.
+void expireHedge(World &world, std::uint64_t row);
+
 // Starts an attempt of a call at an instance.
 void startAttempt(World &world, CallId callId, InstanceId instance);
 
@@ -43,6 +46,9 @@
 // Withdraws a live attempt. Returns true when the answer must be awaited, since the request may run otherwise.
 bool withdrawAttempt(World &world, AttemptId id);
 
+// True when some live attempt of the call may run, or may have run.
+bool anyMayRun(const World &world, const Call &call);
+
 // True when the attempt's request may have been handed over, or may yet be without a further word from here.
 bool mayRun(const Attempt &attempt);
 
--- a/src/call/call_cmd.cpp
+++ b/src/call/call_cmd.cpp
@@ -241,7 +241,8 @@
 {
     const Call *call = world.calls_.calls_.get(id);
     // A call that may have run is never said to be "not run".
-    const ResultCode honest = call->maybeRan_ && provesNotRun(code) ? ResultCode::AnswerLost : code;
+    const bool maybeRan = call->maybeRan_ || anyMayRun(world, *call);
+    const ResultCode honest = maybeRan && provesNotRun(code) ? ResultCode::AnswerLost : code;
     reportFailure(world, call->handle_, honest, call->trace_);
     removeCall(world, id, honest);
 }
@@ -258,6 +259,11 @@
     world.calls_.calls_.remove(id);
 }
 
+bool payForRerun(World &world, const Call &call)
+{
+    return retryBudget(world, call.service_).take(RerunCost, world.now_);
+}
+
 void routeAgain(World &world, CallId id)
 {
     world.calls_.toRoute_.push_back(id);
--- a/src/call/call_func.h
+++ b/src/call/call_func.h
@@ -45,6 +45,9 @@
 // Ends a call and its attempts without telling the caller anything.
 void removeCall(World &world, CallId id, ResultCode code);
 
+// Takes from the retry budget what a further run of a request costs. False when there is not enough.
+bool payForRerun(World &world, const Call &call);
+
 // Asks the route system for a further attempt.
 void routeAgain(World &world, CallId id);
 
--- a/src/call/exchange_type.h
+++ b/src/call/exchange_type.h
@@ -51,7 +51,6 @@
     Verdict verdict_ = Verdict::Refused;
     // Why it was refused.
     std::uint16_t code_ = 0;
-    LoadReport report_;
 };
 
 // Confirms an admission that needs it. The body follows unless it rode with the offer.
@@ -76,7 +75,6 @@
     std::uint64_t attempt_ = 0;
     // Says whether the request was not run, or may have run.
     std::uint16_t code_ = 0;
-    LoadReport report_;
 };
 
 // Ends an answer.
--- a/src/call/suspect_base.h
+++ b/src/call/suspect_base.h
@@ -6,6 +6,7 @@
 #include "core/units_type.h"
 #include "fleet/instance_type.h"
 
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -13,8 +14,10 @@
 
 // A request under suspicion.
 struct Suspect {
-    // Backend server failures while it ran.
-    std::uint8_t failures_ = 0;
+    // Ids of backend server failures while it ran; merged by union, so that failures at the same time all count.
+    std::set<std::uint64_t> failures_;
+    // True when operators forbid it.
+    bool forbidden_ = false;
     // Forgotten after this time.
     Millis until_;
 };
@@ -23,7 +26,6 @@
 struct SuspectSpread {
     std::uint64_t token_ = 0;
     Fingerprint fingerprint_;
-    std::uint8_t failures_ = 0;
     // Who has not acknowledged.
     std::vector<InstanceId> awaiting_;
     std::int32_t sends_ = 0;
--- a/src/call/suspect_system.cpp
+++ b/src/call/suspect_system.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 // Failures after which a request is refused.
-constexpr std::uint8_t QuarantineFailures = 2;
+constexpr std::size_t QuarantineFailures = 2;
 // A notice is repeated after this time, and so often at most.
 constexpr Millis ResendInterval{40};
 constexpr std::int32_t MaxSends = 5;
@@ -30,17 +30,16 @@
     return spec == nullptr || spec->quarantine_ == Millis() ? DefaultQuarantine : spec->quarantine_;
 }
 
-// Raises the failures of a row to a number; merging by maximum makes repeated and late notices harmless.
-void raiseFailures(World &world, Fingerprint fingerprint, std::uint8_t failures)
+// Adds a failure to a row; merging by union makes repeated and late notices harmless.
+void addFailure(World &world, Fingerprint fingerprint, std::uint64_t failure)
 {
     Suspect &suspect = world.suspects_.rows_[fingerprint];
-    const bool news = failures > suspect.failures_;
-    if (!news) {
+    const bool room = suspect.failures_.size() < QuarantineFailures;
+    if (!room || !suspect.failures_.insert(failure).second) {
         return;
     }
-    suspect.failures_ = failures;
     suspect.until_ = world.now_ + quarantineSpan(world);
-    if (failures >= QuarantineFailures) {
+    if (suspect.failures_.size() >= QuarantineFailures) {
         std::string text = "request quarantined: fingerprint ";
         text += std::to_string(fingerprint.value());
         world.emit(LogChange{std::move(text)});
@@ -63,7 +62,11 @@
 // Sends a notice to everyone who has not confirmed it.
 void sendNotice(World &world, SuspectSpread &spread, bool cleared)
 {
-    const SuspectNotice notice{spread.token_, spread.fingerprint_, spread.failures_, cleared};
+    SuspectNotice notice{spread.token_, spread.fingerprint_, {}, cleared};
+    const auto row = world.suspects_.rows_.find(spread.fingerprint_);
+    if (row != world.suspects_.rows_.end()) {
+        notice.failures_.assign(row->second.failures_.begin(), row->second.failures_.end());
+    }
     for (const InstanceId id : spread.awaiting_) {
         const Instance *peer = world.fleet_.rows_.get(id);
         if (peer != nullptr) {
@@ -77,7 +80,7 @@
 // Fails the exchange whose request is under suspicion.
 void settle(World &world, const SuspectSpread &spread)
 {
-    const Failed reply{spread.attempt_, numberOf(ResultCode::BackendFailed), LoadReport{}};
+    const Failed reply{spread.attempt_, numberOf(ResultCode::BackendFailed)};
     world.emit(FailExchange{spread.exchange_, reply});
 }
 
@@ -102,19 +105,19 @@
 bool isQuarantined(const World &world, Fingerprint fingerprint)
 {
     const auto found = world.suspects_.rows_.find(fingerprint);
-    return found != world.suspects_.rows_.end() && found->second.until_ > world.now_ && found->second.failures_ >= QuarantineFailures;
+    if (found == world.suspects_.rows_.end() || found->second.until_ <= world.now_) {
+        return false;
+    }
+    return found->second.forbidden_ || found->second.failures_.size() >= QuarantineFailures;
 }
 
 void markSuspect(World &world, Fingerprint fingerprint, ExchangeHandle exchange, std::uint64_t attempt)
 {
     world.counters_.add(Counter::SuspectsMarked);
-    const auto known = world.suspects_.rows_.find(fingerprint);
-    const int before = known == world.suspects_.rows_.end() ? 0 : known->second.failures_;
-    raiseFailures(world, fingerprint, static_cast<std::uint8_t>(std::min<int>(before + 1, QuarantineFailures)));
+    addFailure(world, fingerprint, world.random_.bits());
     SuspectSpread spread;
     spread.token_ = world.random_.bits();
     spread.fingerprint_ = fingerprint;
-    spread.failures_ = world.suspects_.rows_[fingerprint].failures_;
     spread.awaiting_ = servicePeers(world);
     spread.exchange_ = exchange;
     spread.attempt_ = attempt;
@@ -138,7 +141,9 @@
     std::uint64_t value = 0;
     std::from_chars(fingerprint.data(), fingerprint.data() + fingerprint.size(), value, HexBase);
     if (quarantined) {
-        raiseFailures(world, Fingerprint(value), QuarantineFailures);
+        Suspect &suspect = world.suspects_.rows_[Fingerprint(value)];
+        suspect.forbidden_ = true;
+        suspect.until_ = Millis::never();
     } else {
         world.suspects_.rows_.erase(Fingerprint(value));
     }
@@ -148,13 +153,15 @@
 {
     if (notice.cleared_) {
         const auto found = world.suspects_.rows_.find(notice.fingerprint_);
-        const bool mayClear = found != world.suspects_.rows_.end() && found->second.failures_ < QuarantineFailures;
+        const bool mayClear = found != world.suspects_.rows_.end() && !isQuarantined(world, notice.fingerprint_);
         if (mayClear) {
             world.suspects_.rows_.erase(found);
         }
         return;
     }
-    raiseFailures(world, notice.fingerprint_, notice.failures_);
+    for (const std::uint64_t failure : notice.failures_) {
+        addFailure(world, notice.fingerprint_, failure);
+    }
     world.emit(SendDatagram{from, regionOf(world, from), SuspectAck{notice.token_}, Purpose::Quarantine});
 }
 
--- a/src/core/timer_queue.h
+++ b/src/core/timer_queue.h
@@ -16,6 +16,7 @@
     WithdrawReply, // A withdrawal's confirmation is overdue.
     AdmissionDeadline, // A request's deadline at the inbound side.
     GoWait, // An admitted request was not confirmed in time.
+    Hedge, // A running idempotent call may be tried elsewhere too.
     CallRetry, // A call may look for a backend server again.
     Count, // Number of kinds.
 };
--- a/src/daemon/admin_pages.cpp
+++ b/src/daemon/admin_pages.cpp
@@ -161,7 +161,7 @@
     for (const auto &[fingerprint, suspect] : world.suspects_.rows_) {
         rows.push_back(json::object{
             {"fingerprint", toHex(fingerprint.value())},
-            {"failures", suspect.failures_},
+            {"failures", suspect.failures_.size()},
             {"quarantined", isQuarantined(world, fingerprint)},
             {"seconds_left", std::max<std::int64_t>(0, (suspect.until_ - world.now_).count() / 1000)},
         });
--- a/src/fleet/gossip_type.h
+++ b/src/fleet/gossip_type.h
@@ -79,8 +79,8 @@
     std::uint64_t token_ = 0;
     // Hash of the request.
     Fingerprint fingerprint_;
-    // Failures of backend servers while it ran.
-    std::uint8_t failures_ = 0;
+    // Ids of failures of backend servers while it ran.
+    std::vector<std::uint64_t> failures_;
     // True when the request has since run whole and is no longer suspected.
     bool cleared_ = false;
 };
--- a/src/measure/budget_system.cpp
+++ b/src/measure/budget_system.cpp
@@ -61,9 +61,9 @@
     return FixedBytes + static_cast<std::int64_t>(reply.sender_.value().size());
 }
 
-std::int64_t sizeOf(const SuspectNotice & /*notice*/)
+std::int64_t sizeOf(const SuspectNotice &notice)
 {
-    return FixedBytes;
+    return FixedBytes + static_cast<std::int64_t>(notice.failures_.size() * sizeof(std::uint64_t));
 }
 
 std::int64_t sizeOf(const SuspectAck & /*ack*/)
--- a/src/measure/choose_func.h
+++ b/src/measure/choose_func.h
@@ -49,13 +49,17 @@
 // The strategy's name on reports.
 std::string_view nameOf(StrategyKind kind);
 
-// Chooses an instance for a further attempt of a call: ready ones of the near region first, then of others, then
+// Chooses an instance for a further attempt of a call: ready ones of the near region first; of others when the near
+// choice is full or there is none; then
 // those that are held for dead, since an offer tells for certain and costs little. Invalid when there is none.
 InstanceId chooseInstance(World &world, const Call &call);
 
 // Takes a load report of an instance.
 void takeReport(World &world, Instance &instance, const LoadReport &report);
 
+// Takes note that an instance queued or refused an offer for want of slots.
+void noteFull(World &world, Instance &instance);
+
 // Keeps an instance from being chosen for a while, longer with each failure in a row.
 void avoid(World &world, Instance &instance);
 
--- a/src/net/exchange_client.cpp
+++ b/src/net/exchange_client.cpp
@@ -216,7 +216,7 @@
         co_return !withdrawn->handedOver_;
     }
     if (const auto *failed = std::get_if<Failed>(&frame)) {
-        engine_.post(AttemptFailed{attempt, static_cast<ResultCode>(failed->code_), failed->report_});
+        engine_.post(AttemptFailed{attempt, static_cast<ResultCode>(failed->code_)});
         co_return true;
     }
     if (auto *head = std::get_if<AnswerHead>(&frame)) {
--- a/src/wire/serialize.h
+++ b/src/wire/serialize.h
@@ -246,7 +246,7 @@
 template<typename Archive>
 void fields(Archive &archive, OfferReply &value)
 {
-    all(archive, value.attempt_, value.verdict_, value.code_, value.report_);
+    all(archive, value.attempt_, value.verdict_, value.code_);
     checkRange(value.verdict_, Verdict::Refused);
 }
 
@@ -271,7 +271,7 @@
 template<typename Archive>
 void fields(Archive &archive, Failed &value)
 {
-    all(archive, value.attempt_, value.code_, value.report_);
+    all(archive, value.attempt_, value.code_);
 }
 
 template<typename Archive>
--- a/src/world/world_settings.h
+++ b/src/world/world_settings.h
@@ -39,6 +39,8 @@
     double storeWritesPerSecond_ = 300.0;
     // Strategy of choice; others than the first are baselines for measurements.
     StrategyKind strategy_ = StrategyKind::LoadThenLatency;
+    // False never runs idempotent calls at two backend servers: a baseline for measurements.
+    bool hedging_ = true;
     // False lets queued requests run without Go and makes no second offers: a baseline for measurements.
     bool lateBinding_ = true;
 };
--- a/test/config_test.cpp
+++ b/test/config_test.cpp
@@ -52,6 +52,25 @@
     BOOST_TEST(fleet.allHaveTicket(2));
 }
 
+BOOST_AUTO_TEST_CASE(an_accepted_ticket_reaches_every_failure_domain_with_the_store_down_and_all_heartbeats_lost)
+{
+    FakeFleet fleet(Instances, 9);
+    join(fleet);
+    fleet.datagramLoss_ = 1000;
+    const std::size_t submission = fleet.submit(4, numbered(2, "two"));
+    while (!fleet.ticketResults_[submission]) {
+        fleet.runFor(Millis(1));
+    }
+    fleet.store_.down_ = true;
+    fleet.runFor(InForceWithin);
+    constexpr std::size_t Domains = 6;
+    for (std::size_t domain = 0; domain < Domains; ++domain) {
+        const auto first = fleet.world(domain).tickets_.highest_;
+        const auto second = fleet.world(domain + Domains).tickets_.highest_;
+        BOOST_TEST((std::max(first, second) == TicketNumber(2)));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(of_two_racing_operators_one_wins_and_the_other_sees_the_holder)
 {
     FakeFleet fleet(Instances, 4);
--- a/test/leaving_test.cpp
+++ b/test/leaving_test.cpp
@@ -85,6 +85,19 @@
     BOOST_TEST(unanswered(fleet) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(a_draining_backend_server_receives_no_new_work_when_gossip_is_cut)
+{
+    FakeFleet fleet(Instances, 27);
+    join(fleet);
+    makeTraffic(fleet, Millis(1000));
+    const Millis leftAt = fleet.now();
+    fleet.datagramLoss_ = 1000;
+    fleet.instances_[Leaving].announces_ = BackendState::Draining;
+    makeTraffic(fleet, Millis(8000));
+    BOOST_TEST(handOversAfter(fleet, Leaving, leftAt + NoNewWorkAfter) == 0);
+    BOOST_TEST(unanswered(fleet) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(no_new_work_when_gossip_is_cut_and_the_announcement_is_lost)
 {
     FakeFleet fleet(Instances, 22);
