--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -15,6 +15,9 @@
 
 namespace options = boost::program_options;
 
+// Calls of each connection that are not counted.
+constexpr int WarmUpCalls = 20;
+
 // What the command line says.
 struct LoadOptions {
     Address target_;
@@ -56,6 +59,10 @@
             ++result.failed_;
             continue;
         }
+        // The first calls open connections.
+        if (call < WarmUpCalls) {
+            continue;
+        }
         result.micros_.push_back(std::chrono::duration<double, std::micro>(Clock::now() - sentAt).count());
     }
 }
--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -337,6 +337,7 @@
     if (state == BackendState::Ready) {
         backend.readyAt_ = world.now_;
     }
+    backend.drainingSince_ = state == BackendState::Draining ? world.now_ : Millis::never();
     if (state == BackendState::Absent || state == BackendState::Draining) {
         refuseWaiting(world, state == BackendState::Absent ? ResultCode::BackendNotReady : ResultCode::BackendDraining);
     }
@@ -354,6 +355,18 @@
     }
 }
 
+// Reports once that a drain takes longer than operators allow; nothing is cut.
+void checkDrain(World &world)
+{
+    LocalBackend &backend = world.admissions_.backend_;
+    const ServiceSpec *spec = findService(world, backend.service_);
+    if (backend.drainingSince_ == Millis::never() || spec == nullptr || world.now_ < backend.drainingSince_ + spec->drainTimeout_) {
+        return;
+    }
+    backend.drainingSince_ = Millis::never();
+    world.emit(LogChange{"drain overdue: " + std::to_string(world.admissions_.inFlight_.value()) + " requests in flight"});
+}
+
 // Adds a latency to the moving average.
 void noteLatency(LocalBackend &backend, Millis latency)
 {
@@ -519,6 +532,7 @@
 void runAdmit(World &world)
 {
     checkLease(world);
+    checkDrain(world);
     AdmissionTable &table = world.admissions_;
     const ServiceSpec *spec = findService(world, table.backend_.service_);
     if (spec == nullptr || table.queued_ == Slots()) {
--- a/src/call/admission_table.h
+++ b/src/call/admission_table.h
@@ -22,6 +22,8 @@
     Millis announcedAt_;
     // When it last became ready.
     Millis readyAt_;
+    // When it started to drain; never() while it does not, or once its overdue drain was reported.
+    Millis drainingSince_ = Millis::never();
     // Moving average of the time to answer.
     Millis latency_;
 };
--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -17,9 +17,10 @@
 constexpr Millis OfferTimeout{250};
 // A withdrawal without confirmation for this long leaves the outcome unknown.
 constexpr Millis WithdrawTimeout{500};
-// A running call is tried elsewhere too after so many times the instance's mean latency, and no sooner than so many of the least.
-constexpr std::int64_t HedgeFactor = 3;
+// A running call is tried elsewhere too after this part of the lowest mean latency known of the service, or of this least one.
+constexpr std::int64_t HedgePercent = 300;
 constexpr Millis HedgeLeast{4};
+constexpr std::int64_t WholePercent = 100;
 // Backend server failures after which a call is not tried again.
 constexpr std::int32_t MaxBackendFailures = 2;
 
@@ -153,13 +154,12 @@
 {
     const Attempt &attempt = *world.calls_.attempts_.get(id);
     const Call &call = *world.calls_.calls_.get(attempt.call_);
-    const Instance *instance = world.fleet_.rows_.get(attempt.instance_);
     const bool allowed = world.settings_.hedging_ && call.idempotent_ && call.replayable_ && call.mayRide_;
-    if (!allowed || instance == nullptr) {
+    if (!allowed) {
         return;
     }
-    const Millis expected = std::max(instance->report_.latency_, HedgeLeast);
-    world.timers_.add(world.now_ + expected * HedgeFactor, TimerKind::Hedge, id.packed());
+    const Millis expected = std::max(bestLatency(world, call.service_), HedgeLeast);
+    world.timers_.add(world.now_ + Millis::fromMicros(expected.micros() * HedgePercent / WholePercent), TimerKind::Hedge, id.packed());
 }
 
 // An offer was admitted.
--- a/src/call/call_cmd.cpp
+++ b/src/call/call_cmd.cpp
@@ -261,7 +261,8 @@
 
 bool payForRerun(World &world, const Call &call)
 {
-    return retryBudget(world, call.service_).take(RerunCost, world.now_);
+    TokenBucket &budget = retryBudget(world, call.service_);
+    return budget.has(RetryBurst / 2, world.now_) && budget.take(RerunCost, world.now_);
 }
 
 void routeAgain(World &world, CallId id)
--- a/src/call/call_func.h
+++ b/src/call/call_func.h
@@ -45,7 +45,8 @@
 // Ends a call and its attempts without telling the caller anything.
 void removeCall(World &world, CallId id, ResultCode code);
 
-// Takes from the retry budget what a further run of a request costs. False when there is not enough.
+// Takes from the retry budget what a second run beside the first costs. False when less than half of the budget is left,
+// which is kept for calls that have no answer in sight.
 bool payForRerun(World &world, const Call &call);
 
 // Asks the route system for a further attempt.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -161,6 +161,9 @@
 void Daemon::on(const EndSpan &effect)
 {
     engine_.spans().add(effect);
+    if (effect.name_ == "call") {
+        engine_.latency().add(effect.end_ - effect.start_);
+    }
 }
 
 void Daemon::on(const Exit & /*effect*/)
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/json.hpp>
 
+#include <sstream>
+
 namespace radishford {
 
 namespace json = boost::json;
@@ -53,6 +55,17 @@
     addLine(text, "exchange_bytes_total{purpose=\"retry\"}", front.retryBytes_);
 }
 
+// Quantiles of call latency.
+void addLatency(std::string &text, const LatencyMetrics &latency)
+{
+    for (const double part : LatencyMetrics::Quantiles) {
+        std::ostringstream line;
+        line << "radishford_call_milliseconds{quantile=\"" << part << "\"} " << latency.quantile(part) << "\n";
+        text += line.str();
+    }
+    addLine(text, "call_milliseconds_count", latency.count());
+}
+
 // Sizes of tables now.
 void addGauges(std::string &text, const World &world)
 {
@@ -77,6 +90,7 @@
     addResults(text, world.counters_);
     addTraffic(text, world);
     addFront(text, engine.counters());
+    addLatency(text, engine.latency());
     addGauges(text, world);
     return text;
 }
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -137,9 +137,6 @@
     settings.callerAddress_ = readAddress(reader, "caller_address");
     settings.announceAddress_ = readAddress(reader, "announce_address");
     settings.storeAddress_ = readAddress(reader, "store_address");
-    if (reader.has("collector_address")) {
-        settings.collectorAddress_ = readAddress(reader, "collector_address");
-    }
     readLimits(reader, settings);
     reader.finish();
     checkAddresses(settings);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -18,8 +18,6 @@
     Address announceAddress_;
     // The platform's table service.
     Address storeAddress_;
-    // Where spans are sent; port zero when nowhere.
-    Address collectorAddress_;
     CallerLimits callerLimits_;
     ExchangeLimits exchangeLimits_;
 };
--- a/src/measure/choose.cpp
+++ b/src/measure/choose.cpp
@@ -232,6 +232,21 @@
     instance.failures_ = 0;
 }
 
+Millis bestLatency(const World &world, const ServiceName &service)
+{
+    const auto members = world.fleet_.byService_.find(service);
+    Millis best;
+    if (members == world.fleet_.byService_.end()) {
+        return best;
+    }
+    for (const InstanceId id : members->second) {
+        const Millis latency = world.fleet_.rows_.get(id)->report_.latency_;
+        const bool better = latency > Millis() && (best == Millis() || latency < best);
+        best = better ? latency : best;
+    }
+    return best;
+}
+
 void noteFull(World &world, Instance &instance)
 {
     instance.report_.limit_ = std::max(instance.report_.limit_, Slots(1));
--- a/src/measure/choose_func.h
+++ b/src/measure/choose_func.h
@@ -57,6 +57,9 @@
 // Takes a load report of an instance.
 void takeReport(World &world, Instance &instance, const LoadReport &report);
 
+// Lowest mean latency that any instance of the service has reported; zero when none has.
+Millis bestLatency(const World &world, const ServiceName &service);
+
 // Takes note that an instance queued or refused an offer for want of slots.
 void noteFull(World &world, Instance &instance);
 
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -36,6 +36,11 @@
     return spans_;
 }
 
+LatencyMetrics &Engine::latency()
+{
+    return latency_;
+}
+
 Millis Engine::now()
 {
     const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -1,6 +1,7 @@
 // Runs a world on an io_context: collects events, ticks, and hands effects to the parts that carry them out.
 #pragma once
 
+#include "net/latency_metrics.h"
 #include "net/net.h"
 #include "net/span_ring.h"
 #include "world/world.h"
@@ -52,6 +53,9 @@
     // Spans that have ended.
     SpanRing &spans();
 
+    // Latency of calls, from the caller's header to the end of the answer.
+    LatencyMetrics &latency();
+
     // Time since the process's clock started.
     [[nodiscard]] static Millis now();
 
@@ -78,6 +82,7 @@
     Millis armedFor_ = Millis::never();
     FrontCounters counters_;
     SpanRing spans_;
+    LatencyMetrics latency_;
 };
 
 } // namespace radishford
--- a/src/net/frame_connection.cpp
+++ b/src/net/frame_connection.cpp
@@ -1,6 +1,8 @@
 // A TCP connection that carries frames between daemons.
 #include "net/frame_connection.h"
 
+#include <utility>
+
 namespace radishford {
 
 namespace {
@@ -25,8 +27,9 @@
     if (!isOpen()) {
         return;
     }
-    queue_.push_back(encodeFrame(frame));
-    queuedBytes_ += queue_.back().size();
+    const std::string bytes = encodeFrame(frame);
+    queue_ += bytes;
+    queuedBytes_ += bytes.size();
     if (!writing_) {
         writing_ = true;
         asio::co_spawn(
@@ -98,9 +101,10 @@
 
 Task<> FrameConnection::writeLoop()
 {
+    // Lets the frames of one turn gather, so that they leave in one write.
+    co_await asio::post(socket_.get_executor(), asio::use_awaitable);
     while (isOpen() && !queue_.empty()) {
-        const std::string bytes = std::move(queue_.front());
-        queue_.pop_front();
+        const std::string bytes = std::exchange(queue_, std::string());
         error_code problem;
         co_await asio::async_write(socket_, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, problem));
         if (problem) {
--- a/src/net/frame_connection.h
+++ b/src/net/frame_connection.h
@@ -5,7 +5,6 @@
 #include "net/signal.h"
 #include "wire/codec.h"
 
-#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -54,9 +53,9 @@
     Task<bool> readExactly(std::string &buffer);
 
     tcp::socket socket_;
-    // Encoded frames.
-    std::deque<std::string> queue_;
-    // Bytes in queue_.
+    // Encoded frames that wait for the next write.
+    std::string queue_;
+    // Bytes queued or being written.
     std::size_t queuedBytes_ = 0;
     // True while writeLoop runs.
     bool writing_ = false;
--- a/test/config_test.cpp
+++ b/test/config_test.cpp
@@ -71,6 +71,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_pushed_ticket_that_leaves_a_gap_does_not_hide_the_tickets_between)
+{
+    FakeFleet fleet(1, 10);
+    fleet.runFor(Millis(5000));
+    fleet.submit(0, numbered(1, "one"));
+    fleet.runFor(Millis(2000));
+    TicketBatch batch;
+    batch.after_ = TicketNumber(4);
+    batch.highest_ = TicketNumber(5);
+    batch.objects_ = {TicketObject{"i9", TicketNumber(5), DrainSpec{true}}};
+    fleet.post(0, TicketBatchArrived{Address{9, 9}, true, batch});
+    BOOST_TEST((fleet.world(0).tickets_.highest_ == TicketNumber(1)));
+    BOOST_TEST((fleet.world(0).tickets_.heard_ == TicketNumber(5)));
+    BOOST_TEST(fleet.world(0).tickets_.objects_.size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(of_two_racing_operators_one_wins_and_the_other_sees_the_holder)
 {
     FakeFleet fleet(Instances, 4);
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -61,7 +61,7 @@
     local i=$1
     shift
     start "backend-$i" "$run/backend-$i.log" "$build/backend_standin" --service booking --listen "127.0.1.$i:7410" \
-        --announce "127.0.1.$i:7403" --slots 12 --ledger "$run/ledger" "$@"
+        --announce "127.0.1.$i:7403" --slots "${slots:-12}" --ledger "$run/ledger" "$@"
 }
 
 # Sets faults of the platform stand-in.
