--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -1,10 +1,7 @@
 // Admission of requests at the only way to the backend server.
 #include "call/admission_func.h"
+#include "call/backend_func.h"
 #include "call/suspect_func.h"
-#include "core/error.h"
-#include "fleet/gossip_func.h"
-#include "fleet/instance_func.h"
-#include "measure/budget_func.h"
 #include "store/claim_func.h"
 #include "ticket/ticket_func.h"
 #include "world/world.h"
@@ -15,18 +12,8 @@
 
 namespace {
 
-// An announcement that is not repeated for this long lapses, and with it the backend server's readiness.
-constexpr Millis AnnouncementLease{2500};
 // An admitted request that is not confirmed in this time gives its slot back.
 constexpr Millis GoTimeout{500};
-// Slots of a cold backend server at first, in parts of all.
-constexpr double ColdShare = 0.25;
-// The limit of a cold backend server is worked out anew this often while requests wait.
-constexpr Millis WarmInterval{100};
-// Weight of a new latency in the moving average.
-constexpr double LatencyWeight = 0.1;
-// Bytes that a load report adds to a message.
-constexpr Bytes ReportBytes{11};
 constexpr double PermilleScale = 1000.0;
 
 // The row of an exchange, or an invalid id. Exchanges that have ended are counted.
@@ -40,20 +27,6 @@
     return found->second;
 }
 
-// Requests that may hold a slot now: fewer while the backend server is cold.
-Slots limitNow(const World &world)
-{
-    const LocalBackend &backend = world.admissions_.backend_;
-    const ServiceSpec *spec = findService(world, backend.service_);
-    const Millis warmAfter = spec == nullptr ? Millis() : spec->coldStart_;
-    const Millis age = world.now_ - backend.readyAt_;
-    if (age >= warmAfter) {
-        return backend.slots_;
-    }
-    const double share = ColdShare + (1 - ColdShare) * age.fraction() / warmAfter.fraction();
-    return Slots(std::max(1, static_cast<std::int32_t>(backend.slots_.value() * share)));
-}
-
 // Slots that a class may hold.
 Slots classLimit(const World &world, const RequestClass &requestClass)
 {
@@ -310,91 +283,8 @@
     queueClaim(world, id);
 }
 
-// Refuses everything that waits: the backend server takes no new work.
-void refuseWaiting(World &world, ResultCode code)
-{
-    std::vector<AdmissionId> waiting;
-    world.admissions_.rows_.forEach([&](AdmissionId id, const Admission &row) {
-        if (row.state_ == AdmissionState::Queued) {
-            waiting.push_back(id);
-        }
-    });
-    for (const AdmissionId id : waiting) {
-        failAdmission(world, id, code);
-    }
-}
-
-// Changes the state of the backend server and tells the fleet.
-void setBackendState(World &world, BackendState state)
-{
-    LocalBackend &backend = world.admissions_.backend_;
-    if (backend.state_ == state) {
-        return;
-    }
-    constexpr std::array<const char *, 4> Texts{"absent", "starting", "ready", "draining"};
-    world.emit(LogChange{"backend server " + backend.service_.value() + " " + Texts[static_cast<std::size_t>(state)]});
-    backend.state_ = state;
-    if (state == BackendState::Ready) {
-        backend.readyAt_ = world.now_;
-    }
-    backend.drainingSince_ = state == BackendState::Draining ? world.now_ : Millis::never();
-    if (state == BackendState::Absent || state == BackendState::Draining) {
-        refuseWaiting(world, state == BackendState::Absent ? ResultCode::BackendNotReady : ResultCode::BackendDraining);
-    }
-    publishSelf(world, Health::Alive);
-    announceWidely(world);
-}
-
-// Lets a lapsed announcement end.
-void checkLease(World &world)
-{
-    const LocalBackend &backend = world.admissions_.backend_;
-    const bool announced = backend.state_ != BackendState::Absent;
-    if (announced && world.now_ - backend.announcedAt_ >= AnnouncementLease) {
-        setBackendState(world, BackendState::Absent);
-    }
-}
-
-// Reports once that a drain takes longer than operators allow; nothing is cut.
-void checkDrain(World &world)
-{
-    LocalBackend &backend = world.admissions_.backend_;
-    const ServiceSpec *spec = findService(world, backend.service_);
-    if (backend.drainingSince_ == Millis::never() || spec == nullptr || world.now_ < backend.drainingSince_ + spec->drainTimeout_) {
-        return;
-    }
-    backend.drainingSince_ = Millis::never();
-    world.emit(LogChange{"drain overdue: " + std::to_string(world.admissions_.inFlight_.value()) + " requests in flight"});
-}
-
-// Adds a latency to the moving average.
-void noteLatency(LocalBackend &backend, Millis latency)
-{
-    const bool first = backend.latency_ == Millis();
-    const double mean = first ? latency.fraction() : backend.latency_.fraction() * (1 - LatencyWeight) + latency.fraction() * LatencyWeight;
-    constexpr double MicrosPerMilli = 1000.0;
-    backend.latency_ = Millis::fromMicros(static_cast<std::int64_t>(mean * MicrosPerMilli));
-}
-
 } // namespace
 
-void handle(World &world, const BackendAnnounced &event)
-{
-    LocalBackend &backend = world.admissions_.backend_;
-    const bool moved = backend.service_ != event.service_ || backend.address_ != event.address_ || backend.slots_ != event.slots_;
-    const bool restarted = backend.incarnation_ != event.incarnation_;
-    if (moved || restarted) {
-        setBackendState(world, BackendState::Absent);
-        backend.service_ = event.service_;
-        backend.address_ = event.address_;
-        backend.slots_ = event.slots_;
-        backend.incarnation_ = event.incarnation_;
-        backend.latency_ = Millis();
-    }
-    backend.announcedAt_ = world.now_;
-    setBackendState(world, event.state_);
-}
-
 void handle(World &world, const OfferArrived &event)
 {
     const RequestClass *requestClass = findClass(world, event.offer_);
@@ -531,8 +421,7 @@
 
 void runAdmit(World &world)
 {
-    checkLease(world);
-    checkDrain(world);
+    checkBackend(world);
     AdmissionTable &table = world.admissions_;
     const ServiceSpec *spec = findService(world, table.backend_.service_);
     if (spec == nullptr || table.queued_ == Slots()) {
@@ -553,38 +442,6 @@
     }
 }
 
-Millis nextAdmit(const World &world)
-{
-    const AdmissionTable &table = world.admissions_;
-    if (table.backend_.state_ == BackendState::Absent) {
-        return Millis::never();
-    }
-    const Millis lapse = table.backend_.announcedAt_ + AnnouncementLease;
-    const bool cold = limitNow(world) < table.backend_.slots_;
-    const bool warmsForQueue = cold && table.queued_ > Slots();
-    return warmsForQueue ? std::min(lapse, world.now_ + WarmInterval) : lapse;
-}
-
-LoadReport currentLoad(const World &world)
-{
-    const AdmissionTable &table = world.admissions_;
-    return LoadReport{table.inFlight_, table.queued_, limitNow(world), table.backend_.latency_};
-}
-
-LoadReport reportFor(World &world, const InstanceName &receiver)
-{
-    const auto found = world.fleet_.byName_.find(receiver);
-    const RegionId region = found == world.fleet_.byName_.end() ? ownRegion(world) : world.fleet_.rows_.get(found->second)->region_;
-    if (!takeMeasuring(world, region, ReportBytes, false)) {
-        world.counters_.add(Counter::ReportsDenied);
-        return LoadReport{};
-    }
-    Traffic &traffic = world.counters_.traffic_[TrafficKey{Purpose::Measuring, region}];
-    ++traffic.messages_;
-    traffic.bytes_ += ReportBytes;
-    return currentLoad(world);
-}
-
 void handOver(World &world, AdmissionId id)
 {
     Admission &row = *world.admissions_.rows_.get(id);
--- a/src/call/admission_func.h
+++ b/src/call/admission_func.h
@@ -12,9 +12,6 @@
 
 struct World;
 
-// Takes an announcement of the backend server.
-void handle(World &world, const BackendAnnounced &event);
-
 // Admits, queues or refuses an offer.
 void handle(World &world, const OfferArrived &event);
 
@@ -45,15 +42,6 @@
 // Gives free slots to waiting requests, and lets lapsed announcements end.
 void runAdmit(World &world);
 
-// When an announcement lapses or a cold backend server's limit rises.
-Millis nextAdmit(const World &world);
-
-// Load of the own backend server.
-LoadReport currentLoad(const World &world);
-
-// Load for a message to an instance, or an empty report when the measuring budget forbids it.
-LoadReport reportFor(World &world, const InstanceName &receiver);
-
 // Hands a request over; its key is claimed if it has one.
 void handOver(World &world, AdmissionId id);
 
--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -59,6 +59,18 @@
     }
 }
 
+// Ends an attempt that brought no answer and notes what its call learns from it. Returns the call.
+CallId closeAttempt(World &world, AttemptId id, ResultCode code, bool drop)
+{
+    const Attempt attempt = *world.calls_.attempts_.get(id);
+    blame(world, attempt, code);
+    endAttempt(world, id, code, drop);
+    Call &call = *world.calls_.calls_.get(attempt.call_);
+    call.tried_.push_back(attempt.instanceName_);
+    call.lastCode_ = code;
+    return attempt.call_;
+}
+
 // Goes on with a call after the end of one attempt: waits for one that runs, or tries elsewhere.
 void goOn(World &world, CallId id)
 {
@@ -74,23 +86,19 @@
 // An attempt ended without running the request: tries elsewhere, or ends the call.
 void concludeNotRun(World &world, AttemptId id, ResultCode code, bool drop)
 {
-    const Attempt attempt = *world.calls_.attempts_.get(id);
-    blame(world, attempt, code);
-    endAttempt(world, id, code, drop);
-    Call &call = *world.calls_.calls_.get(attempt.call_);
-    call.tried_.push_back(attempt.instanceName_);
-    call.lastCode_ = code;
+    const CallId callId = closeAttempt(world, id, code, drop);
+    Call &call = *world.calls_.calls_.get(callId);
     if (call.state_ == CallState::Ending) {
         if (call.attempts_.empty()) {
-            failCall(world, attempt.call_, call.maybeRan_ ? ResultCode::DeadlineUnknown : ResultCode::DeadlineNotRun);
+            failCall(world, callId, call.maybeRan_ ? ResultCode::DeadlineUnknown : ResultCode::DeadlineNotRun);
         }
         return;
     }
     if (isFinal(code) && !anyMayRun(world, call)) {
-        failCall(world, attempt.call_, code);
+        failCall(world, callId, code);
         return;
     }
-    goOn(world, attempt.call_);
+    goOn(world, callId);
 }
 
 // True when a call whose request may have run can be run again.
@@ -102,26 +110,22 @@
 // An attempt ended and may have run the request: tries again if that does no harm, or ends the call.
 void concludeUnknown(World &world, AttemptId id, ResultCode code, bool drop)
 {
-    const Attempt attempt = *world.calls_.attempts_.get(id);
-    blame(world, attempt, code);
-    endAttempt(world, id, code, drop);
-    Call &call = *world.calls_.calls_.get(attempt.call_);
-    call.tried_.push_back(attempt.instanceName_);
+    const CallId callId = closeAttempt(world, id, code, drop);
+    Call &call = *world.calls_.calls_.get(callId);
     call.maybeRan_ = true;
-    call.lastCode_ = code;
     call.backendFailures_ += code == ResultCode::BackendFailed ? 1 : 0;
     if (call.state_ == CallState::Ending) {
         if (call.attempts_.empty()) {
-            failCall(world, attempt.call_, ResultCode::DeadlineUnknown);
+            failCall(world, callId, ResultCode::DeadlineUnknown);
         }
         return;
     }
     const bool otherRuns = call.idempotent_ && anyMayRun(world, call);
     if (!otherRuns && (isFinal(code) || !mayRerun(call))) {
-        failCall(world, attempt.call_, code);
+        failCall(world, callId, code);
         return;
     }
-    goOn(world, attempt.call_);
+    goOn(world, callId);
 }
 
 // An answer broke after its head was passed on: the caller must see that it is not whole.
--- a/src/daemon/admin_pages.cpp
+++ b/src/daemon/admin_pages.cpp
@@ -1,7 +1,7 @@
 // Pages for operators and their tools.
 #include "daemon/admin_pages.h"
 
-#include "call/admission_func.h"
+#include "call/backend_func.h"
 #include "call/suspect_func.h"
 #include "core/error.h"
 #include "daemon/metrics.h"
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -3,6 +3,7 @@
 
 #include "fleet/instance_func.h"
 #include "table/counter_names.h"
+#include "wire/ticket_json.h"
 
 #include <boost/json.hpp>
 
@@ -110,8 +111,7 @@
     }
     json::array pairs;
     for (const RegionPairBudget &pair : spec.regionPairs_) {
-        pairs.push_back(json::object{
-            {"from", pair.from_}, {"to", pair.to_}, {"bytes_per_second", pair.bytesPerSecond_.value()}, {"probes_per_second", pair.probesPerSecond_}});
+        pairs.push_back(toJson(pair));
     }
     return json::object{
         {"bytes_per_second", spec.bytesPerSecond_.value()},
--- a/src/measure/probe_system.cpp
+++ b/src/measure/probe_system.cpp
@@ -1,5 +1,5 @@
 // Probes for load that traffic does not report.
-#include "call/admission_func.h"
+#include "call/backend_func.h"
 #include "fleet/instance_func.h"
 #include "measure/choose_func.h"
 #include "measure/probe_func.h"
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -3,6 +3,7 @@
 
 #include "call/call_func.h"
 #include "core/hash.h"
+#include "net/accept_loop.h"
 #include "net/trace_context.h"
 
 #include <charconv>
@@ -87,7 +88,12 @@
 
 void CallerServer::start()
 {
-    asio::co_spawn(acceptor_.get_executor(), acceptLoop(), asio::detached);
+    AcceptPolicy policy;
+    policy.maxConnections_ = limits_.maxConnections_;
+    policy.count_ = [this]() { return connections_; };
+    policy.serve_ = [this](tcp::socket socket) { asio::co_spawn(acceptor_.get_executor(), serve(std::move(socket)), asio::detached); };
+    policy.refused_ = &engine_.counters().refusedConnections_;
+    asio::co_spawn(acceptor_.get_executor(), acceptLoop(acceptor_, policy), asio::detached);
 }
 
 std::shared_ptr<CallerRequest> CallerServer::find(CallHandle handle)
@@ -110,25 +116,6 @@
     }
 }
 
-Task<> CallerServer::acceptLoop()
-{
-    for (;;) {
-        error_code problem;
-        tcp::socket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, problem));
-        if (problem == asio::error::operation_aborted) {
-            co_return;
-        }
-        if (problem) {
-            continue;
-        }
-        if (connections_ >= limits_.maxConnections_) {
-            ++engine_.counters().refusedConnections_;
-            continue;
-        }
-        asio::co_spawn(acceptor_.get_executor(), serve(std::move(socket)), asio::detached);
-    }
-}
-
 Task<> CallerServer::serve(tcp::socket socket)
 {
     ++connections_;
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -36,9 +36,6 @@
     void cut(CallHandle handle);
 
 private:
-    // Accepts connections.
-    Task<> acceptLoop();
-
     // Serves one connection.
     Task<> serve(tcp::socket socket);
 
--- a/src/net/exchange_server.cpp
+++ b/src/net/exchange_server.cpp
@@ -3,6 +3,7 @@
 
 #include "core/error.h"
 
+#include "net/accept_loop.h"
 #include "net/trace_context.h"
 #include "ticket/ticket_func.h"
 
@@ -41,7 +42,16 @@
 
 void ExchangeServer::start()
 {
-    asio::co_spawn(acceptor_.get_executor(), acceptLoop(), asio::detached);
+    AcceptPolicy policy;
+    policy.maxConnections_ = limits_.maxConnections_;
+    policy.count_ = [this]() { return connections_.size(); };
+    policy.serve_ = [this](tcp::socket socket) {
+        const auto connection = std::make_shared<FrameConnection>(std::move(socket));
+        connections_.insert(connection);
+        asio::co_spawn(acceptor_.get_executor(), serve(connection), asio::detached);
+    };
+    policy.refused_ = &engine_.counters().refusedConnections_;
+    asio::co_spawn(acceptor_.get_executor(), acceptLoop(acceptor_, policy), asio::detached);
     asio::co_spawn(acceptor_.get_executor(), watchStalls(), asio::detached);
 }
 
@@ -104,27 +114,6 @@
     }
 }
 
-Task<> ExchangeServer::acceptLoop()
-{
-    for (;;) {
-        error_code problem;
-        tcp::socket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, problem));
-        if (problem == asio::error::operation_aborted) {
-            co_return;
-        }
-        if (problem) {
-            continue;
-        }
-        if (connections_.size() >= limits_.maxConnections_) {
-            ++engine_.counters().refusedConnections_;
-            continue;
-        }
-        const auto connection = std::make_shared<FrameConnection>(std::move(socket));
-        connections_.insert(connection);
-        asio::co_spawn(acceptor_.get_executor(), serve(connection), asio::detached);
-    }
-}
-
 Task<> ExchangeServer::watchStalls()
 {
     asio::steady_timer timer(engine_.context());
--- a/src/net/exchange_server.h
+++ b/src/net/exchange_server.h
@@ -63,9 +63,6 @@
     using ExchangePtr = std::shared_ptr<InboundExchange>;
     using ConnectionPtr = std::shared_ptr<FrameConnection>;
 
-    // Accepts connections.
-    Task<> acceptLoop();
-
     // Closes connections on which a frame has stalled.
     Task<> watchStalls();
 
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -2,6 +2,7 @@
 #include "net/http_exchange.h"
 
 #include "core/result_code.h"
+#include "net/accept_loop.h"
 #include "net/failure_response.h"
 
 namespace radishford {
@@ -69,7 +70,12 @@
 
 void TextServer::start()
 {
-    asio::co_spawn(acceptor_.get_executor(), acceptLoop(), asio::detached);
+    AcceptPolicy policy;
+    policy.maxConnections_ = MaxConnections;
+    policy.count_ = [this]() { return connections_; };
+    policy.serve_ = [this](tcp::socket socket) { asio::co_spawn(acceptor_.get_executor(), serve(std::move(socket)), asio::detached); };
+    policy.refused_ = &refused_;
+    asio::co_spawn(acceptor_.get_executor(), acceptLoop(acceptor_, policy), asio::detached);
 }
 
 std::uint64_t TextServer::badRequests() const
@@ -77,20 +83,6 @@
     return badRequests_;
 }
 
-Task<> TextServer::acceptLoop()
-{
-    for (;;) {
-        error_code problem;
-        tcp::socket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, problem));
-        if (problem == asio::error::operation_aborted) {
-            co_return;
-        }
-        if (!problem && connections_ < MaxConnections) {
-            asio::co_spawn(acceptor_.get_executor(), serve(std::move(socket)), asio::detached);
-        }
-    }
-}
-
 Task<> TextServer::serve(tcp::socket socket)
 {
     ++connections_;
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -38,9 +38,6 @@
     [[nodiscard]] std::uint64_t badRequests() const;
 
 private:
-    // Accepts connections.
-    Task<> acceptLoop();
-
     // Serves one connection.
     Task<> serve(tcp::socket socket);
 
@@ -48,6 +45,7 @@
     TextHandler handler_;
     std::size_t connections_ = 0;
     std::uint64_t badRequests_ = 0;
+    std::uint64_t refused_ = 0;
 };
 
 } // namespace radishford
--- a/src/table/systems.h
+++ b/src/table/systems.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "call/admission_func.h"
+#include "call/backend_func.h"
 #include "call/call_func.h"
 #include "call/suspect_func.h"
 #include "fleet/gossip_func.h"
--- a/src/wire/ticket_json.cpp
+++ b/src/wire/ticket_json.cpp
@@ -159,8 +159,7 @@
 {
     json::array pairs;
     for (const RegionPairBudget &pair : spec.regionPairs_) {
-        pairs.push_back(json::object{
-            {"from", pair.from_}, {"to", pair.to_}, {"bytes_per_second", pair.bytesPerSecond_.value()}, {"probes_per_second", pair.probesPerSecond_}});
+        pairs.push_back(toJson(pair));
     }
     return json::object{
         {"bytes_per_second", spec.bytesPerSecond_.value()},
@@ -253,6 +252,12 @@
     return ticketFromJson(parseJson(text, "ticket"));
 }
 
+json::value toJson(const RegionPairBudget &pair)
+{
+    return json::object{
+        {"from", pair.from_}, {"to", pair.to_}, {"bytes_per_second", pair.bytesPerSecond_.value()}, {"probes_per_second", pair.probesPerSecond_}};
+}
+
 json::value toJson(const TicketObject &object)
 {
     json::object result{{"kind", kindName(object.spec_)}, {"name", object.name_}, {"number", object.number_.value()}};
--- a/src/wire/ticket_json.h
+++ b/src/wire/ticket_json.h
@@ -21,6 +21,9 @@
 // Writes a ticket with all its fields.
 boost::json::value toJson(const Ticket &ticket);
 
+// Writes a limit between two regions.
+boost::json::value toJson(const RegionPairBudget &pair);
+
 // Writes an object in force.
 boost::json::value toJson(const TicketObject &object);
 
--- a/test/fake/fake_fleet.h
+++ b/test/fake/fake_fleet.h
@@ -17,6 +17,9 @@
 
 namespace radishford {
 
+// Time after which both ends see a broken connection.
+constexpr Millis LossNotice{2};
+
 // What a caller was told about one call.
 struct CallResult {
     // Token of the request whose answer was passed on.
