A joining daemon is sent the table at once; names that ride on datagrams are bounded; membership tests

Change: heartbeats carry the number of running instances; a peer that is behind gets up to 64 datagrams of rows. Ruled out: comparing all rows, since dead ones are kept for different times. Cause: long names could make a heartbeat larger than a datagram; they are rejected with a numbered error now.

--- a/src/daemon/announce_page.cpp
+++ b/src/daemon/announce_page.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::int64_t MaxSlots = 100000;
+// Names ride on datagrams, seven records at a time.
+constexpr std::size_t MaxServiceName = 48;
 
 // Reads the state's name. Throws Error with OutOfRange.
 BackendState readState(const std::string &name)
@@ -35,7 +37,7 @@
     const boost::json::value parsed = parseJson(text, "announcement");
     JsonReader reader(parsed, "");
     BackendAnnounced event;
-    event.service_ = ServiceName(reader.text("service"));
+    event.service_ = ServiceName(reader.name("service", MaxServiceName));
     event.address_ = parseAddress(reader.text("address"));
     event.slots_ = Slots(static_cast<std::int32_t>(reader.number("slots", 1, MaxSlots)));
     event.state_ = readState(reader.text("state"));
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -15,7 +15,9 @@
 namespace {
 
 constexpr std::int64_t MaxPlaces = 255;
-constexpr std::size_t MaxNameLength = 48;
+// Names ride on datagrams, seven records at a time.
+constexpr std::size_t MaxInstanceName = 48;
+constexpr std::size_t MaxPlaceName = 32;
 constexpr std::int64_t MaxConnections = 65536;
 constexpr std::int64_t MinHeader = 1024;
 constexpr std::int64_t MaxHeader = 262144;
@@ -42,7 +44,7 @@
     reader.value("places");
     for (const json::value &value : reader.list("places")) {
         JsonReader row(value, "places[" + std::to_string(places.size()) + "]");
-        Place place{row.text("failure_domain"), row.text("region")};
+        Place place{row.name("failure_domain", MaxPlaceName), row.name("region", MaxPlaceName)};
         row.finish();
         const bool known = std::any_of(places.begin(), places.end(), [&](const Place &other) { return other.failureDomain_ == place.failureDomain_; });
         if (known) {
@@ -111,16 +113,6 @@
     }
 }
 
-// Reads the instance's name.
-InstanceName readName(JsonReader &reader)
-{
-    const std::string name = reader.text("instance");
-    if (name.empty() || name.size() > MaxNameLength) {
-        throw Error(ResultCode::OutOfRange, "instance (1 to 48 characters)");
-    }
-    return InstanceName(name);
-}
-
 } // namespace
 
 DaemonSettings parseSettings(const std::string &text)
@@ -128,7 +120,7 @@
     const json::value parsed = parseJson(text, "settings");
     JsonReader reader(parsed, "");
     DaemonSettings settings;
-    settings.world_.name_ = readName(reader);
+    settings.world_.name_ = InstanceName(reader.name("instance", MaxInstanceName));
     settings.world_.places_ = readPlaces(reader);
     settings.world_.failureDomain_ = reader.text("failure_domain");
     settings.world_.address_ = readAddress(reader, "daemon_address");
--- a/src/fleet/fleet_table.h
+++ b/src/fleet/fleet_table.h
@@ -39,6 +39,8 @@
     std::unordered_map<ServiceName, std::vector<InstanceId>, StrongHash> byService_;
     // Instances by failure domain index.
     std::vector<std::vector<InstanceId>> byDomain_;
+    // Rows whose health is alive or suspect.
+    std::size_t running_ = 0;
     // Own row.
     InstanceId self_;
     // Exclusive or of the hashes of live rows.
@@ -53,6 +55,8 @@
     std::size_t forgetSweep_ = 0;
     std::uint32_t sequence_ = 0;
     Millis nextPingAt_;
+    // When the table may be sent to a joining daemon again.
+    Millis nextTableAt_;
     // Periods since start.
     std::uint64_t periods_ = 0;
     std::vector<PendingPing> pending_;
--- a/src/fleet/gossip_system.cpp
+++ b/src/fleet/gossip_system.cpp
@@ -36,6 +36,12 @@
 constexpr std::size_t JoinSeeds = 3;
 // A daemon that is gone is contacted every so many periods, so that regions find each other again after a cut.
 constexpr std::uint64_t GonePeriods = 5;
+// Datagrams sent at once to a daemon that is joining, and the time between two such helps.
+constexpr std::size_t MaxJoinDatagrams = 64;
+constexpr Millis TableInterval{50};
+// In a large fleet, a daemon that knows fewer than so many tenths of the running instances is joining.
+constexpr std::size_t KnownTenths = 9;
+constexpr std::size_t WholeTenths = 10;
 // Rows looked at in one period for forgetting.
 constexpr std::size_t ForgetSlice = 64;
 // Of a thousand heartbeats, how many stay in the failure domain, and how many in the region.
@@ -88,6 +94,7 @@
     header.sender_ = self.record_.name_;
     header.sequence_ = sequence;
     header.tableHash_ = fleet.tableHash_;
+    header.running_ = static_cast<std::uint32_t>(fleet.running_);
     header.ticket_ = world.tickets_.highest_;
     header.current_ = world.tickets_.current_;
     header.records_.push_back(self.record_);
@@ -299,10 +306,32 @@
     noteTicket(world, from, header);
 }
 
+// True when a daemon that knows so many running instances is behind: by any number in a small fleet, by a tenth in a large one.
+bool isBehind(std::size_t runningThere, std::size_t runningHere)
+{
+    const bool small = runningHere <= MaxJoinDatagrams * SyncRecords;
+    return small ? runningThere < runningHere : runningThere * WholeTenths < runningHere * KnownTenths;
+}
+
+// Sends a large part of the table to a daemon that is joining, as acknowledgements of nothing.
+void helpJoin(World &world, const Address &to, std::uint32_t runningThere)
+{
+    FleetTable &fleet = world.fleet_;
+    if (!isBehind(runningThere, fleet.running_) || world.now_ < fleet.nextTableAt_) {
+        return;
+    }
+    fleet.nextTableAt_ = world.now_ + TableInterval;
+    const std::size_t datagrams = std::min(MaxJoinDatagrams, fleet.running_ / SyncRecords + 1);
+    for (std::size_t sent = 0; sent < datagrams; ++sent) {
+        sendMembership(world, to, Ack{makeHeader(world, 0, true)});
+    }
+}
+
 // Answers a ping.
 void take(World &world, const Address &from, const Ping &ping)
 {
     takeHeader(world, from, ping.header_);
+    helpJoin(world, from, ping.header_.running_);
     const bool differs = ping.header_.tableHash_ != world.fleet_.tableHash_;
     sendMembership(world, from, Ack{makeHeader(world, ping.header_.sequence_, differs)});
 }
--- a/src/fleet/gossip_type.h
+++ b/src/fleet/gossip_type.h
@@ -30,6 +30,8 @@
     std::uint32_t sequence_ = 0;
     // Hash over the sender's table of live instances.
     std::uint64_t tableHash_ = 0;
+    // Instances that the sender holds for running.
+    std::uint32_t running_ = 0;
     // Highest ticket below and including which the sender knows everything.
     TicketNumber ticket_;
     // True when the sender serves by that ticket, rather than still joining.
--- a/src/fleet/instance_cmd.cpp
+++ b/src/fleet/instance_cmd.cpp
@@ -16,10 +16,16 @@
 // Messages that carry a new record, for each doubling of the fleet.
 constexpr int TransmitsPerDoubling = 3;
 
+// True while a record says that its daemon runs.
+bool isRunning(const InstanceRecord &record)
+{
+    return record.health_ == Health::Alive || record.health_ == Health::Suspect;
+}
+
 // Hash of the parts of a record that all daemons must agree on; zero for instances that are gone.
 std::uint64_t recordHash(const InstanceRecord &record)
 {
-    if (record.health_ == Health::Dead || record.health_ == Health::Left) {
+    if (!isRunning(record)) {
         return 0;
     }
     const std::uint64_t name = hashBytes(record.name_.value());
@@ -42,6 +48,7 @@
 void indexRow(FleetTable &fleet, InstanceId id, const InstanceRecord &record)
 {
     fleet.tableHash_ ^= recordHash(record);
+    fleet.running_ += isRunning(record) ? 1 : 0;
     fleet.byAddress_[record.address_] = id;
     if (!record.service_.value().empty()) {
         fleet.byService_[record.service_].push_back(id);
@@ -52,6 +59,7 @@
 void unindexRow(FleetTable &fleet, InstanceId id, const InstanceRecord &record)
 {
     fleet.tableHash_ ^= recordHash(record);
+    fleet.running_ -= isRunning(record) ? 1 : 0;
     const auto byAddress = fleet.byAddress_.find(record.address_);
     if (byAddress != fleet.byAddress_.end() && byAddress->second == id) {
         fleet.byAddress_.erase(byAddress);
@@ -137,7 +145,7 @@
 
 bool isRunning(const Instance &instance)
 {
-    return instance.record_.health_ == Health::Alive || instance.record_.health_ == Health::Suspect;
+    return isRunning(instance.record_);
 }
 
 bool mergeRecord(World &world, const InstanceRecord &record)
@@ -150,8 +158,7 @@
     }
     const auto known = fleet.byName_.find(record.name_);
     if (known == fleet.byName_.end()) {
-        const bool gone = record.health_ == Health::Dead || record.health_ == Health::Left;
-        if (gone) {
+        if (!isRunning(record)) {
             return false;
         }
         addRow(world, record, FailureDomainId(static_cast<std::uint8_t>(domain)));
--- a/src/wire/json_reader.cpp
+++ b/src/wire/json_reader.cpp
@@ -33,6 +33,15 @@
     return std::string(found.get_string());
 }
 
+std::string JsonReader::name(const char *key, std::size_t most)
+{
+    std::string found = text(key);
+    if (found.empty() || found.size() > most) {
+        throw Error(ResultCode::OutOfRange, pathOf(key) + " (1 to " + std::to_string(most) + " characters)");
+    }
+    return found;
+}
+
 std::string JsonReader::text(const char *key, const std::string &fallback)
 {
     return has(key) ? text(key) : fallback;
--- a/src/wire/json_reader.h
+++ b/src/wire/json_reader.h
@@ -27,6 +27,9 @@
     // A required text.
     std::string text(const char *key);
 
+    // A required text of one to so many characters.
+    std::string name(const char *key, std::size_t most);
+
     // An optional text.
     std::string text(const char *key, const std::string &fallback);
 
--- a/src/wire/serialize.h
+++ b/src/wire/serialize.h
@@ -191,7 +191,7 @@
 template<typename Archive>
 void fields(Archive &archive, GossipHeader &value)
 {
-    all(archive, value.sender_, value.sequence_, value.tableHash_, value.ticket_, value.current_, value.records_);
+    all(archive, value.sender_, value.sequence_, value.tableHash_, value.running_, value.ticket_, value.current_, value.records_);
 }
 
 template<typename Archive>
--- a/test/codec_test.cpp
+++ b/test/codec_test.cpp
@@ -109,6 +109,18 @@
     BOOST_CHECK_THROW(encodeDatagram(ping), Error);
 }
 
+BOOST_AUTO_TEST_CASE(a_heartbeat_with_the_longest_names_fits_into_a_datagram)
+{
+    InstanceRecord record;
+    record.name_ = InstanceName(std::string(48, 'n'));
+    record.failureDomain_ = std::string(32, 'd');
+    record.service_ = ServiceName(std::string(48, 's'));
+    GossipHeader header;
+    header.sender_ = record.name_;
+    header.records_.assign(7, record);
+    BOOST_TEST(encodeDatagram(PingRequest{header, Address{1, 2}}).size() <= MaxDatagramBytes);
+}
+
 BOOST_AUTO_TEST_CASE(tickets_survive_frames_and_json)
 {
     Ticket ticket = standardTicket(9, "id");
--- a/test/settings_test.cpp
+++ b/test/settings_test.cpp
@@ -44,6 +44,7 @@
         {with("\"failure_domain\":\"d1\",\"places\"", "\"failure_domain\":\"d9\",\"places\""), ResultCode::UnknownFailureDomain, "d9"},
         {with("\"region\":\"r\"}", "\"region\":\"r\"},{\"failure_domain\":\"d1\",\"region\":\"r\"}"), ResultCode::DuplicateName, "d1"},
         {with("[\"127.0.0.2:1\"]", "[1]"), ResultCode::WrongType, "seeds"},
+        {with("\"instance\":\"a\"", "\"instance\":\"\""), ResultCode::OutOfRange, "instance"},
         {"{", ResultCode::BadJson, "settings"},
         {"[]", ResultCode::WrongType, ""},
     };
--- a/test/suspect_test.cpp
+++ b/test/suspect_test.cpp
@@ -37,7 +37,7 @@
 void sendAgainAndAgain(FakeFleet &fleet, const FakeCall &call, int sends)
 {
     for (int send = 0; send < sends; ++send) {
-        const std::size_t number = fleet.call(static_cast<std::size_t>(send * 3) % Instances, call);
+        const std::size_t number = fleet.call(static_cast<std::size_t>(send * 3) % fleet.size(), call);
         while (!fleet.results_[number].isOver()) {
             fleet.runFor(Millis(1));
         }
@@ -66,27 +66,34 @@
 
 BOOST_AUTO_TEST_CASE(neighbours_in_flight_are_free_again)
 {
-    FakeFleet fleet(Instances, 33);
+    // Two servers with two neighbours each, so that the killing request has company wherever it runs.
+    FakeFleet fleet(2, 33);
     join(fleet);
     for (FakeInstance &instance : fleet.instances_) {
         instance.work_ = Millis(40);
     }
     std::vector<FakeCall> neighbours;
-    for (int number = 0; number < 30; ++number) {
+    for (int number = 0; number < 4; ++number) {
         const std::string name = "n" + std::to_string(number);
         const FakeCall call{.token_ = name, .action_ = name};
         neighbours.push_back(call);
-        fleet.call(static_cast<std::size_t>(number) % Instances, call);
+        fleet.call(static_cast<std::size_t>(number) % fleet.size(), call);
     }
     fleet.runFor(Millis(15));
     sendAgainAndAgain(fleet, killer("poison", "read"), 3);
     BOOST_TEST(fleet.killed_ <= MaxKilled);
+    std::uint64_t marked = 0;
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        marked += fleet.world(index).counters_.get(Counter::SuspectsMarked);
+    }
+    // The killing request was not alone when the server failed.
+    BOOST_TEST(marked > static_cast<std::uint64_t>(fleet.killed_));
     fleet.runFor(Millis(5000));
     for (const FakeCall &call : neighbours) {
         const std::size_t again = fleet.call(1, call);
         fleet.runFor(Millis(200));
         BOOST_TEST(fleet.results_[again].answer_.has_value());
-        for (std::size_t index = 0; index < Instances; ++index) {
+        for (std::size_t index = 0; index < fleet.size(); ++index) {
             BOOST_TEST(!isSuspect(fleet.world(index), Fingerprint(hashBytes(call.action_))));
         }
     }
