--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+// Connections that break within this time are taken for one failure.
+constexpr Millis SameFailure{1000};
 // An admitted request that is not confirmed in this time gives its slot back.
 constexpr Millis GoTimeout{500};
 constexpr double PermilleScale = 1000.0;
@@ -283,6 +285,18 @@
     queueClaim(world, id);
 }
 
+// True when a request that was not suspected failed together with one that was: the failure is most likely the other's.
+bool isBystanderOfSuspect(World &world, const Admission &row)
+{
+    AdmissionTable &table = world.admissions_;
+    if (row.suspected_) {
+        table.suspectFailedAt_ = world.now_;
+        return false;
+    }
+    const bool justFailed = table.suspectFailedAt_ != Millis() && world.now_ - table.suspectFailedAt_ < SameFailure;
+    return table.suspectsInFlight_ > 0 || justFailed;
+}
+
 } // namespace
 
 void handle(World &world, const OfferArrived &event)
@@ -394,11 +408,12 @@
         setBackendState(world, BackendState::Absent);
         return;
     }
+    const bool isBystander = isBystanderOfSuspect(world, *row);
     const std::uint64_t attempt = row->offer_.attempt_;
     const Fingerprint fingerprint = row->offer_.fingerprint_;
     removeAdmission(world, id, ResultCode::BackendFailed);
     ++world.counters_.results_[ResultCode::BackendFailed];
-    markSuspect(world, fingerprint, event.exchange_, attempt);
+    markSuspect(world, fingerprint, isBystander, event.exchange_, attempt);
 }
 
 void expireAdmission(World &world, std::uint64_t row)
--- a/src/call/admission_table.h
+++ b/src/call/admission_table.h
@@ -51,6 +51,8 @@
     Slots queued_;
     // Suspected requests that hold a slot.
     std::int32_t suspectsInFlight_ = 0;
+    // When a suspected request last failed here.
+    Millis suspectFailedAt_ = Millis::fromMicros(0);
     // Class to look at first when a slot is free.
     std::size_t nextClass_ = 0;
 };
--- a/src/call/suspect_system.cpp
+++ b/src/call/suspect_system.cpp
@@ -111,10 +111,12 @@
     return found->second.forbidden_ || found->second.failures_.size() >= QuarantineFailures;
 }
 
-void markSuspect(World &world, Fingerprint fingerprint, ExchangeHandle exchange, std::uint64_t attempt)
+void markSuspect(World &world, Fingerprint fingerprint, bool isBystander, ExchangeHandle exchange, std::uint64_t attempt)
 {
     world.counters_.add(Counter::SuspectsMarked);
-    addFailure(world, fingerprint, world.random_.bits());
+    if (!isBystander || !isSuspect(world, fingerprint)) {
+        addFailure(world, fingerprint, world.random_.bits());
+    }
     SuspectSpread spread;
     spread.token_ = world.random_.bits();
     spread.fingerprint_ = fingerprint;
