A beaten hedge is cancelled at once, by the end of its connection

Cause: read while looking over the front end: a running loser was first asked to withdraw, which comes too late, and its connection was closed only a second later, so that it kept its slot. Change: only attempts that cannot run are withdrawn. Ruled out: a shorter grace, since a waiting offer's connection is worth keeping.

--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -225,7 +225,28 @@
     replyOffer(world, row, Verdict::Queued);
 }
 
-void proceed(World &world, AdmissionId id);
+// Goes on with a request that holds a slot, once Go and the body are here.
+void proceed(World &world, AdmissionId id)
+{
+    Admission &row = *world.admissions_.rows_.get(id);
+    if (row.needsGo_) {
+        return;
+    }
+    if (!row.bodyHere_) {
+        row.state_ = AdmissionState::AwaitingBody;
+        return;
+    }
+    if (world.now_ >= row.deadline_) {
+        failAdmission(world, id, ResultCode::DeadlineNotRun);
+        return;
+    }
+    if (row.offer_.key_.empty()) {
+        handOver(world, id);
+        return;
+    }
+    row.state_ = AdmissionState::Claiming;
+    queueClaim(world, id);
+}
 
 // Admits a request that waited; it needs Go, since its outbound side may have gone elsewhere.
 void admitWaiting(World &world, AdmissionId id)
@@ -262,29 +283,6 @@
     return AdmissionId{};
 }
 
-// Goes on with a request that holds a slot, once Go and the body are here.
-void proceed(World &world, AdmissionId id)
-{
-    Admission &row = *world.admissions_.rows_.get(id);
-    if (row.needsGo_) {
-        return;
-    }
-    if (!row.bodyHere_) {
-        row.state_ = AdmissionState::AwaitingBody;
-        return;
-    }
-    if (world.now_ >= row.deadline_) {
-        failAdmission(world, id, ResultCode::DeadlineNotRun);
-        return;
-    }
-    if (row.offer_.key_.empty()) {
-        handOver(world, id);
-        return;
-    }
-    row.state_ = AdmissionState::Claiming;
-    queueClaim(world, id);
-}
-
 // True when a request that was not suspected failed together with one that was: the failure is most likely the other's.
 bool isBystanderOfSuspect(World &world, const Admission &row)
 {
--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -147,7 +147,10 @@
     const std::vector<AttemptId> attempts = call.attempts_;
     for (const AttemptId other : attempts) {
         if (other != id) {
-            withdrawAttempt(world, other);
+            // One that runs is cancelled by the end of its connection; one that waits is withdrawn, and its connection kept.
+            if (!mayRun(*world.calls_.attempts_.get(other))) {
+                withdrawAttempt(world, other);
+            }
             endAttempt(world, other, ResultCode::Withdrawn, true);
         }
     }
