--- a/bench/slope_bench.cpp
+++ b/bench/slope_bench.cpp
@@ -109,7 +109,7 @@
     ping.header_.tableHash_ = world.fleet_.tableHash_;
     static double owed = 0;
     for (owed += changesPerSecond; owed >= 1; owed -= 1) {
-        ping.header_.records_.push_back(makeRecord((version * 7919U) % members, version));
+        ping.header_.records_.push_back(makeRecord(std::size_t{version} * 7919U % members, version));
     }
     inbox.push_back(DatagramArrived{makeRecord(1, 1).address_, ping});
     count(world.tick(now, inbox));
--- a/src/net/latency_metrics.h
+++ b/src/net/latency_metrics.h
@@ -3,6 +3,9 @@
 
 #include "core/clock_type.h"
 
+// The quantile header uses string streams without including them.
+#include <sstream>
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
