--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -1,12 +1,15 @@
 // Admission of requests at the only way to the backend server.
 #include "call/admission_func.h"
 #include "call/backend_func.h"
+#include "call/gate_func.h"
 #include "call/suspect_func.h"
 #include "store/claim_func.h"
 #include "ticket/ticket_func.h"
 #include "world/world.h"
 
 #include <algorithm>
+#include <limits>
+#include <tuple>
 
 namespace radishford {
 
@@ -46,9 +49,23 @@
     return classes[classIndex];
 }
 
+// The class of all routed requests: their terms come with the offer.
+const RequestClass &routedClass()
+{
+    static const RequestClass Routed = [] {
+        RequestClass row;
+        row.queue_ = Slots(std::numeric_limits<std::int32_t>::max());
+        return row;
+    }();
+    return Routed;
+}
+
 // The class of an offer by the ticket in force here; nullptr when there is none.
 const RequestClass *findClass(const World &world, const Offer &offer)
 {
+    if (offer.routed_) {
+        return &routedClass();
+    }
     const ServiceSpec *spec = findService(world, offer.service_);
     if (spec == nullptr) {
         return nullptr;
@@ -61,7 +78,7 @@
 ResultCode stateRefusal(const World &world, const Offer &offer)
 {
     const LocalBackend &backend = world.admissions_.backend_;
-    if (!world.tickets_.current_) {
+    if (!offer.routed_ && !world.tickets_.current_) {
         return ResultCode::NotReady;
     }
     if (backend.state_ == BackendState::Draining || isLeaving(world) || isDrainedByTicket(world, world.settings_.name_)) {
@@ -100,6 +117,9 @@
     const bool slotFree = table.inFlight_ < limitNow(world);
     const bool shareFree = queueOf(world, classIndex).inFlight_ < classLimit(world, requestClass);
     const bool suspectFree = table.suspectsInFlight_ == 0 || !isSuspect(world, fingerprint);
+    if (world.settings_.routed_) {
+        return slotFree && suspectFree;
+    }
     return slotFree && shareFree && suspectFree;
 }
 
@@ -162,10 +182,17 @@
     removeAdmission(world, id, code);
 }
 
+// Load that rides on the reply to a routed offer.
+LoadReport replyReport(const World &world, const Offer &offer)
+{
+    return offer.routed_ ? currentLoad(world) : LoadReport{};
+}
+
 // Answers an offer.
-void replyOffer(World &world, const Admission &row, Verdict verdict)
+void replyOffer(World &world, Admission &row, Verdict verdict)
 {
-    world.emit(ReplyOffer{row.exchange_, OfferReply{row.offer_.attempt_, verdict, 0}});
+    row.told_ = true;
+    world.emit(ReplyOffer{row.exchange_, OfferReply{row.offer_.attempt_, verdict, 0, replyReport(world, row.offer_)}});
 }
 
 // Refuses an offer.
@@ -176,7 +203,7 @@
     if (code == ResultCode::Quarantined) {
         world.counters_.add(Counter::Quarantines);
     }
-    world.emit(ReplyOffer{event.exchange_, OfferReply{event.offer_.attempt_, Verdict::Refused, numberOf(code)}});
+    world.emit(ReplyOffer{event.exchange_, OfferReply{event.offer_.attempt_, Verdict::Refused, numberOf(code), replyReport(world, event.offer_)}});
     const std::string detail = world.settings_.name_.value() + " " + event.offer_.service_.value() + "/" + event.offer_.class_.value();
     world.emit(EndSpan{event.offer_.trace_, drawSpan(world), event.offer_.parentSpan_, "admission", detail, world.now_, world.now_, code});
 }
@@ -188,7 +215,7 @@
     row.exchange_ = event.exchange_;
     row.offer_ = event.offer_;
     row.classIndex_ = classIndex;
-    row.idempotent_ = requestClass.idempotent_;
+    row.idempotent_ = event.offer_.routed_ ? event.offer_.idempotent_ : requestClass.idempotent_;
     row.arrivedAt_ = world.now_;
     row.deadline_ = world.now_ + event.offer_.remaining_;
     row.span_ = drawSpan(world);
@@ -225,6 +252,23 @@
     replyOffer(world, row, Verdict::Queued);
 }
 
+// Puts a routed offer into the queue without a word: the gate admits it in this tick, or as soon as it knows the server's state.
+void takeRouted(World &world, const OfferArrived &event, const RequestClass &requestClass)
+{
+    if (queueOf(world, 0).waitingCount_ >= world.admissions_.backend_.slots_) {
+        refuse(world, event, ResultCode::Overloaded);
+        return;
+    }
+    const AdmissionId id = addAdmission(world, event, requestClass, 0);
+    Admission &row = *world.admissions_.rows_.get(id);
+    row.state_ = AdmissionState::Queued;
+    row.needsGo_ = !row.offer_.bodyRides_;
+    ClassQueue &queue = queueOf(world, 0);
+    queue.waiting_.push_back(id);
+    queue.waitingCount_ += Slots(1);
+    world.admissions_.queued_ += Slots(1);
+}
+
 // Goes on with a request that holds a slot, once Go and the body are here.
 void proceed(World &world, AdmissionId id)
 {
@@ -263,6 +307,80 @@
     replyOffer(world, row, Verdict::Admitted);
 }
 
+// Admits a routed request, which needs Go unless its body rides and no verdict was told yet.
+void admitRouted(World &world, AdmissionId id)
+{
+    const bool firstWord = !world.admissions_.rows_.get(id)->told_;
+    admitWaiting(world, id);
+    Admission &row = *world.admissions_.rows_.get(id);
+    if (firstWord && !row.needsGo_) {
+        replyOffer(world, row, Verdict::Admitted);
+    }
+}
+
+// True when the first request should run before the second.
+bool goesBefore(const World &world, const Admission &first, const Admission &second)
+{
+    const auto rank = [&](const Admission &row) {
+        const bool valueLost = row.arrivedAt_ + row.offer_.valuable_ <= world.now_;
+        return std::tuple(valueLost, row.offer_.priority_, row.deadline_);
+    };
+    return rank(first) < rank(second);
+}
+
+// Takes the routed request that should run next out of the queue; invalid when none may run now.
+AdmissionId takeNextRouted(World &world)
+{
+    ClassQueue &queue = queueOf(world, 0);
+    std::erase_if(queue.waiting_, [&](AdmissionId id) { return world.admissions_.rows_.get(id) == nullptr; });
+    auto best = queue.waiting_.end();
+    for (auto at = queue.waiting_.begin(); at != queue.waiting_.end(); ++at) {
+        const Admission &row = *world.admissions_.rows_.get(*at);
+        const bool may = hasRoomFor(world, row) && mayTakeSlot(world, routedClass(), 0, row.offer_.fingerprint_);
+        if (may && (best == queue.waiting_.end() || goesBefore(world, row, *world.admissions_.rows_.get(*best)))) {
+            best = at;
+        }
+    }
+    if (best == queue.waiting_.end()) {
+        return AdmissionId{};
+    }
+    const AdmissionId id = *best;
+    queue.waiting_.erase(best);
+    return id;
+}
+
+// Tells outbound sides whose offers stay in the queue.
+void tellQueued(World &world)
+{
+    for (const AdmissionId id : queueOf(world, 0).waiting_) {
+        Admission *row = world.admissions_.rows_.get(id);
+        if (row != nullptr && !row->told_) {
+            row->needsGo_ = true;
+            world.counters_.add(Counter::Queued);
+            replyOffer(world, *row, Verdict::Queued);
+        }
+    }
+}
+
+// Gives free slots to routed requests when the gate allows work to start.
+void admitRoutedWaiting(World &world)
+{
+    const GateState gate = gateState(world);
+    if (gate == GateState::Unknown) {
+        askForCheck(world);
+        return;
+    }
+    while (gate == GateState::Open) {
+        const AdmissionId id = takeNextRouted(world);
+        if (!id.isValid()) {
+            break;
+        }
+        admitRouted(world, id);
+    }
+    tellQueued(world);
+    checkLater(world, gate);
+}
+
 // The first request of a queue that may take a slot; ids of removed rows are dropped. Invalid when there is none.
 AdmissionId takeWaiting(World &world, const RequestClass &requestClass, std::size_t classIndex)
 {
@@ -305,6 +423,10 @@
         refuse(world, event, refusal);
         return;
     }
+    if (event.offer_.routed_) {
+        takeRouted(world, event, *requestClass);
+        return;
+    }
     const ServiceSpec &spec = *findService(world, event.offer_.service_);
     const auto classIndex = static_cast<std::size_t>(requestClass - spec.classes_.data());
     const bool othersWait = queueOf(world, classIndex).waitingCount_ > Slots();
@@ -383,10 +505,11 @@
         return;
     }
     noteLatency(world.admissions_.backend_, world.now_ - row->handedOverAt_);
+    noteLoad(world, event.load_);
     clearSuspect(world, row->offer_.fingerprint_);
     const InstanceName sender = row->offer_.sender_;
     removeAdmission(world, id, ResultCode::Ok);
-    world.emit(EndExchange{event.exchange_, reportFor(world, sender)});
+    world.emit(EndExchange{event.exchange_, world.settings_.routed_ ? currentLoad(world) : reportFor(world, sender)});
 }
 
 void handle(World &world, const BackendFailed &event)
@@ -406,10 +529,29 @@
         setBackendState(world, BackendState::Absent);
         return;
     }
+    if (event.fault_ == BackendFault::Spoiled) {
+        failAdmission(world, id, ResultCode::AnswerSpoiled);
+        return;
+    }
+    if (event.fault_ == BackendFault::Refused) {
+        noteLoad(world, event.load_);
+        failAdmission(world, id, ResultCode::BackendRefused);
+        return;
+    }
+    if (event.fault_ == BackendFault::WrongInstance) {
+        failAdmission(world, id, ResultCode::WrongInstance);
+        // The address is another's; only a newer announcement binds it again.
+        setBackendState(world, BackendState::Absent);
+        return;
+    }
     const bool isBystander = isBystanderOfSuspect(world, *row);
     const std::uint64_t attempt = row->offer_.attempt_;
     const Fingerprint fingerprint = row->offer_.fingerprint_;
     removeAdmission(world, id, ResultCode::BackendFailed);
+    if (world.settings_.routed_) {
+        askAfterBreak(world, BrokenRequest{event.exchange_, attempt, fingerprint, isBystander});
+        return;
+    }
     ++world.counters_.results_[ResultCode::BackendFailed];
     markSuspect(world, fingerprint, isBystander, event.exchange_, attempt);
 }
@@ -418,8 +560,15 @@
 {
     const AdmissionId id = AdmissionId::fromPacked(row);
     const Admission *admission = world.admissions_.rows_.get(id);
-    if (admission != nullptr && admission->state_ != AdmissionState::Running) {
+    if (admission == nullptr) {
+        return;
+    }
+    if (admission->state_ != AdmissionState::Running) {
         failAdmission(world, id, ResultCode::DeadlineNotRun);
+    } else if (admission->offer_.routed_) {
+        // Nobody waits any more, and a server that hangs must not hold the slot.
+        world.emit(CancelBackend{admission->exchange_});
+        removeAdmission(world, id, ResultCode::DeadlineUnknown);
     }
 }
 
@@ -436,6 +585,12 @@
 {
     checkBackend(world);
     AdmissionTable &table = world.admissions_;
+    if (world.settings_.routed_) {
+        if (table.queued_ > Slots()) {
+            admitRoutedWaiting(world);
+        }
+        return;
+    }
     const ServiceSpec *spec = findService(world, table.backend_.service_);
     if (spec == nullptr || table.queued_ == Slots()) {
         return;
@@ -465,7 +620,8 @@
     row.state_ = AdmissionState::Running;
     row.handedOverAt_ = world.now_;
     world.counters_.add(Counter::HandedOver);
-    world.emit(HandOver{row.exchange_, world.admissions_.backend_.address_, row.deadline_ - world.now_});
+    const LocalBackend &backend = world.admissions_.backend_;
+    world.emit(HandOver{row.exchange_, backend.address_, backend.id_, row.deadline_ - world.now_});
 }
 
 void failAdmission(World &world, AdmissionId id, ResultCode code)
--- a/src/call/admission_table.h
+++ b/src/call/admission_table.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "call/call_base.h"
+#include "core/token_bucket.h"
 #include "fleet/instance_type.h"
 
 #include <deque>
@@ -10,6 +11,14 @@
 
 namespace radishford {
 
+// A request whose connection to the backend server broke while it ran.
+struct BrokenRequest {
+    ExchangeHandle exchange_;
+    std::uint64_t attempt_ = 0;
+    Fingerprint fingerprint_;
+    bool isBystander_ = false;
+};
+
 // The backend server beside this daemon, as it announced itself.
 struct LocalBackend {
     ServiceName service_;
@@ -26,6 +35,32 @@
     Millis drainingSince_ = Millis::never();
     // Moving average of the time to answer.
     Millis latency_;
+    // Id by which the backend server names itself; empty when it has none.
+    BackendId id_;
+    // Number of the latest announcement of this start.
+    std::uint64_t sequence_ = 0;
+    // True once it said goodbye; only a new start ends that.
+    bool goodbye_ = false;
+    // How long work takes at this moment as last told; zero when it was never told.
+    Percent slowness_;
+    Millis slownessAt_;
+    // Lowest slowness of late: what is usual for this server.
+    double usualSlowness_ = 0;
+};
+
+// Health checks of the backend server.
+struct CheckTable {
+    // True while one runs.
+    bool running_ = false;
+    Millis startedAt_;
+    // True once the backend server answered a check without telling its speed.
+    bool useless_ = false;
+    // Allowance, by the settings' rate.
+    TokenBucket allowance_;
+    // When a waiting request makes the next check worthwhile; never() when none waits.
+    Millis nextAt_ = Millis::never();
+    // Requests whose connection broke: the next check tells a crash from a lost answer.
+    std::vector<BrokenRequest> broken_;
 };
 
 // Requests of one class that hold a slot or wait for one.
@@ -43,6 +78,7 @@
     Pool<Admission, AdmissionId> rows_;
     std::unordered_map<ExchangeHandle, AdmissionId, StrongHash> byExchange_;
     LocalBackend backend_;
+    CheckTable checks_;
     // By index of the class in the service's ticket.
     std::vector<ClassQueue> classes_;
     // Requests that hold a slot.
--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -21,6 +21,8 @@
 constexpr std::int64_t HedgePercent = 300;
 constexpr Millis HedgeLeast{4};
 constexpr std::int64_t WholePercent = 100;
+// A routed offer without a reply for this long is taken for lost: the other side answers within one check of its backend server.
+constexpr Millis RoutedOfferTimeout{100};
 // Backend server failures after which a call is not tried again.
 constexpr std::int32_t MaxBackendFailures = 2;
 
@@ -42,11 +44,24 @@
     return std::find(Final.begin(), Final.end(), code) != Final.end();
 }
 
+// True for refusals that say that the instance has no room at this moment.
+bool isFull(ResultCode code)
+{
+    return code == ResultCode::Overloaded || code == ResultCode::TooManyCalls;
+}
+
+// True when the attempt's request came to its backend server.
+bool reachedBackend(ResultCode code)
+{
+    return code == ResultCode::BackendRefused || code == ResultCode::WrongInstance || !provesNotRun(code);
+}
+
 // True when the instance itself, rather than its load, is the reason of a failure.
 bool blamesInstance(ResultCode code)
 {
-    constexpr std::array Blaming{ResultCode::PeerUnreachable, ResultCode::BackendUnreachable, ResultCode::BackendFailed, ResultCode::AnswerLost,
-                                 ResultCode::BackendNotReady, ResultCode::BackendDraining,    ResultCode::NotReady,      ResultCode::DaemonLeaving};
+    constexpr std::array Blaming{ResultCode::PeerUnreachable, ResultCode::BackendUnreachable, ResultCode::BackendFailed,
+                                 ResultCode::AnswerLost,      ResultCode::BackendNotReady,    ResultCode::BackendDraining,
+                                 ResultCode::NotReady,        ResultCode::DaemonLeaving,      ResultCode::WrongInstance};
     return std::find(Blaming.begin(), Blaming.end(), code) != Blaming.end();
 }
 
@@ -66,8 +81,9 @@
     blame(world, attempt, code);
     endAttempt(world, id, code, drop);
     Call &call = *world.calls_.calls_.get(attempt.call_);
-    call.tried_.push_back(attempt.instanceName_);
+    (call.routed_ && isFull(code) ? call.full_ : call.tried_).push_back(attempt.instanceName_);
     call.lastCode_ = code;
+    call.backendsReached_ += reachedBackend(code) ? 1 : 0;
     return attempt.call_;
 }
 
@@ -86,6 +102,7 @@
 // An attempt ended without running the request: tries elsewhere, or ends the call.
 void concludeNotRun(World &world, AttemptId id, ResultCode code, bool drop)
 {
+    const bool bodySent = world.calls_.attempts_.get(id)->state_ == AttemptState::Running;
     const CallId callId = closeAttempt(world, id, code, drop);
     Call &call = *world.calls_.calls_.get(callId);
     if (call.state_ == CallState::Ending) {
@@ -94,7 +111,9 @@
         }
         return;
     }
-    if (isFinal(code) && !anyMayRun(world, call)) {
+    // A body that was streamed is gone.
+    const bool spent = bodySent && !call.replayable_;
+    if ((isFinal(code) || spent) && !anyMayRun(world, call)) {
         failCall(world, callId, code);
         return;
     }
@@ -252,6 +271,10 @@
     offer.remaining_ = call.deadline_ - world.now_;
     offer.fingerprint_ = call.fingerprint_;
     offer.key_ = call.key_;
+    offer.routed_ = call.routed_;
+    offer.idempotent_ = call.idempotent_;
+    offer.priority_ = call.priority_;
+    offer.valuable_ = call.valuableUntil_ - world.now_;
     offer.bodyRides_ = attempt.bodyRode_;
     offer.wholeBodyFirst_ = call.wholeBodyFirst_;
     offer.trace_ = call.trace_;
@@ -306,7 +329,9 @@
     attempt.instance_ = instanceId;
     attempt.instanceName_ = instance.record_.name_;
     attempt.isHedge_ = call.state_ == CallState::Running;
-    attempt.bodyRode_ = call.mayRide_ && (call.attempts_.empty() || attempt.isHedge_);
+    // A routed request that must not run twice waits for Go, so that an offer without a reply proves that it was not run.
+    const bool mayRide = call.mayRide_ && (!call.routed_ || call.idempotent_);
+    attempt.bodyRode_ = mayRide && (call.attempts_.empty() || attempt.isHedge_);
     attempt.startedAt_ = world.now_;
     attempt.isRetry_ = call.attemptsStarted_ > 0;
     attempt.span_ = drawSpan(world);
@@ -320,7 +345,7 @@
     if (attempt.isRetry_) {
         world.counters_.add(Counter::Retries);
     }
-    world.timers_.add(world.now_ + OfferTimeout, TimerKind::OfferReply, id.packed());
+    world.timers_.add(world.now_ + (call.routed_ ? RoutedOfferTimeout : OfferTimeout), TimerKind::OfferReply, id.packed());
     const Purpose purpose = attempt.isRetry_ ? Purpose::Retry : Purpose::Call;
     world.emit(StartExchange{id, call.handle_, instance.record_.address_, makeOffer(world, call, callId, id), purpose});
 }
@@ -362,6 +387,7 @@
         return;
     }
     noteHeard(world, attempt->instance_);
+    noteReport(world, *attempt, event.reply_.report_);
     noteVerdict(world, *attempt, event.reply_);
     switch (event.reply_.verdict_) {
     case Verdict::Admitted:
@@ -455,6 +481,12 @@
     if (attempt == nullptr || attempt->state_ != AttemptState::Offered) {
         return;
     }
+    if (world.calls_.calls_.get(attempt->call_)->routed_ && mayRun(*attempt)) {
+        // It may run behind a silent connection: another attempt is started beside it, and the first answer wins.
+        letRun(world, id);
+        expireHedge(world, row);
+        return;
+    }
     if (!withdrawAttempt(world, id)) {
         concludeNotRun(world, id, ResultCode::PeerUnreachable, true);
     }
--- a/src/call/backend_cmd.cpp
+++ b/src/call/backend_cmd.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-// An announcement that is not repeated for this long lapses, and with it the backend server's readiness.
-constexpr Millis AnnouncementLease{2500};
 // Slots of a cold backend server at first, in parts of all.
 constexpr double ColdShare = 0.25;
 // The limit of a cold backend server is worked out anew this often while requests wait.
@@ -23,7 +21,7 @@
 // Weight of a new latency in the moving average.
 constexpr double LatencyWeight = 0.1;
 // Bytes that a load report adds to a message.
-constexpr Bytes ReportBytes{11};
+constexpr Bytes ReportBytes{13};
 
 // Refuses everything that waits: the backend server takes no new work.
 void refuseWaiting(World &world, ResultCode code)
@@ -44,7 +42,7 @@
 {
     const LocalBackend &backend = world.admissions_.backend_;
     const bool announced = backend.state_ != BackendState::Absent;
-    if (announced && world.now_ - backend.announcedAt_ >= AnnouncementLease) {
+    if (announced && world.now_ - backend.announcedAt_ >= world.settings_.announcementLease_) {
         setBackendState(world, BackendState::Absent);
     }
 }
@@ -61,6 +59,24 @@
     world.emit(LogChange{"drain overdue: " + std::to_string(world.admissions_.inFlight_.value()) + " requests in flight"});
 }
 
+// True when an announcement is about another backend server, or is older than what is known: by start, then by number.
+bool isStale(const World &world, const BackendAnnounced &event)
+{
+    const WorldSettings &settings = world.settings_;
+    if (!settings.routed_) {
+        return false;
+    }
+    const LocalBackend &backend = world.admissions_.backend_;
+    if (event.address_ != settings.backendAddress_) {
+        return true;
+    }
+    const bool known = backend.incarnation_ != Incarnation();
+    if (!known || event.incarnation_ != backend.incarnation_) {
+        return known && event.incarnation_ < backend.incarnation_;
+    }
+    return event.sequence_ <= backend.sequence_;
+}
+
 } // namespace
 
 Slots limitNow(const World &world)
@@ -113,8 +129,11 @@
 void handle(World &world, const BackendAnnounced &event)
 {
     LocalBackend &backend = world.admissions_.backend_;
+    if (isStale(world, event)) {
+        return;
+    }
     const bool moved = backend.service_ != event.service_ || backend.address_ != event.address_ || backend.slots_ != event.slots_;
-    const bool restarted = backend.incarnation_ != event.incarnation_;
+    const bool restarted = backend.incarnation_ != event.incarnation_ || backend.id_ != event.id_;
     if (moved || restarted) {
         setBackendState(world, BackendState::Absent);
         backend.service_ = event.service_;
@@ -122,9 +141,24 @@
         backend.slots_ = event.slots_;
         backend.incarnation_ = event.incarnation_;
         backend.latency_ = Millis();
+        backend.id_ = event.id_;
+        backend.goodbye_ = false;
+        backend.slowness_ = Percent();
+        backend.usualSlowness_ = 0;
     }
+    backend.sequence_ = event.sequence_;
     backend.announcedAt_ = world.now_;
-    setBackendState(world, event.state_);
+    setBackendState(world, backend.goodbye_ ? BackendState::Draining : event.state_);
+}
+
+void handle(World &world, const BackendLeft &event)
+{
+    LocalBackend &backend = world.admissions_.backend_;
+    if (backend.state_ == BackendState::Absent || backend.id_ != event.id_) {
+        return;
+    }
+    backend.goodbye_ = true;
+    setBackendState(world, BackendState::Draining);
 }
 
 Millis nextAdmit(const World &world)
@@ -133,7 +167,7 @@
     if (table.backend_.state_ == BackendState::Absent) {
         return Millis::never();
     }
-    const Millis lapse = table.backend_.announcedAt_ + AnnouncementLease;
+    const Millis lapse = table.backend_.announcedAt_ + world.settings_.announcementLease_;
     const bool cold = limitNow(world) < table.backend_.slots_;
     const bool warmsForQueue = cold && table.queued_ > Slots();
     return warmsForQueue ? std::min(lapse, world.now_ + WarmInterval) : lapse;
@@ -142,7 +176,7 @@
 LoadReport currentLoad(const World &world)
 {
     const AdmissionTable &table = world.admissions_;
-    return LoadReport{table.inFlight_, table.queued_, limitNow(world), table.backend_.latency_};
+    return LoadReport{table.inFlight_, table.queued_, limitNow(world), table.backend_.latency_, table.backend_.slowness_};
 }
 
 LoadReport reportFor(World &world, const InstanceName &receiver)
--- a/src/call/backend_func.h
+++ b/src/call/backend_func.h
@@ -15,6 +15,9 @@
 // Takes an announcement of the backend server.
 void handle(World &world, const BackendAnnounced &event);
 
+// Takes the goodbye of the backend server.
+void handle(World &world, const BackendLeft &event);
+
 // When an announcement lapses or a cold backend server's limit rises.
 Millis nextAdmit(const World &world);
 
--- a/src/call/call_base.h
+++ b/src/call/call_base.h
@@ -34,8 +34,23 @@
     std::int32_t attemptsStarted_ = 0;
     // Live attempts.
     std::vector<AttemptId> attempts_;
-    // Instances that refused or failed; not asked again.
+    // True when the call came by a route of the desired state.
+    bool routed_ = false;
+    // Urgency; zero is the most urgent.
+    std::uint8_t priority_ = 0;
+    // Until when an answer has its full value.
+    Millis valuableUntil_;
+    // Most backend servers to which the call may be sent, and to how many it was.
+    std::int32_t maxBackends_ = 0;
+    std::int32_t backendsReached_ = 0;
+    // Bytes of the body, when its length is known.
+    Bytes bodySize_;
+    // Instances that failed the call; not asked again.
     std::vector<InstanceName> tried_;
+    // Instances that had no room; asked again after a short wait.
+    std::vector<InstanceName> full_;
+    // True while a timer will route the call again.
+    bool waiting_ = false;
     // Latest reason against an attempt.
     ResultCode lastCode_ = ResultCode::NoBackend;
     // True when some attempt may have run.
@@ -81,6 +96,8 @@
     bool needsGo_ = false;
     // True once the key's row names this attempt, or may do so.
     bool maybeClaimed_ = false;
+    // True once the outbound side has been told a verdict.
+    bool told_ = false;
     // True when it took its slot as a suspected request.
     bool suspected_ = false;
     SpanId span_;
--- a/src/call/call_cmd.cpp
+++ b/src/call/call_cmd.cpp
@@ -5,6 +5,8 @@
 #include "fleet/instance_func.h"
 #include "measure/choose_func.h"
 #include "measure/probe_func.h"
+#include "measure/repeat_func.h"
+#include "ticket/route_func.h"
 #include "ticket/ticket_func.h"
 #include "world/world.h"
 
@@ -20,6 +22,10 @@
 constexpr std::size_t MaxLiveAttempts = 2;
 // A call that found no backend server looks again after this time, while its deadline allows.
 constexpr Millis RetryWait{50};
+// A routed call that found no room asks again after about this time; room changes with every answer.
+constexpr Millis RoundWait{15};
+// With less time left than this, no backend server is asked any more.
+constexpr Millis LeastWork{5};
 // Share of the deadline that a call may spend looking for a backend server.
 constexpr std::int64_t LookingShare = 4;
 // Cost of a further offer, in parts of a full retry: it runs nothing twice.
@@ -45,16 +51,28 @@
     return found == spec.classes_.end() ? nullptr : &*found;
 }
 
+// Terms of a call by the ticket in force.
+CallTerms termsOf(const RequestClass &requestClass)
+{
+    CallTerms terms;
+    terms.idempotent_ = requestClass.idempotent_;
+    terms.wholeBodyFirst_ = !requestClass.streamed_;
+    terms.maxBackends_ = MaxAttempts;
+    terms.timeout_ = requestClass.deadline_;
+    return terms;
+}
+
 // Why a call cannot be taken, or Ok.
-ResultCode refusalOf(const World &world, const CallArrived &event, const RequestClass *requestClass)
+ResultCode refusalOf(const World &world, const CallArrived &event, bool declared)
 {
-    if (isLeaving(world)) {
+    // Callers of a routed deployment go on coming until they have seen that this daemon is not ready any more.
+    if (isLeaving(world) && !event.terms_.routed_) {
         return ResultCode::DaemonLeaving;
     }
     if (!world.tickets_.current_) {
         return ResultCode::NotReady;
     }
-    if (requestClass == nullptr) {
+    if (!declared) {
         return ResultCode::UnknownService;
     }
     if (world.calls_.calls_.size() >= world.settings_.maxCalls_) {
@@ -76,20 +94,24 @@
 }
 
 // Builds the row of a call.
-Call makeCall(World &world, const CallArrived &event, const RequestClass &requestClass)
+Call makeCall(World &world, const CallArrived &event, const CallTerms &terms)
 {
     Call call;
     call.handle_ = event.handle_;
-    call.service_ = event.service_;
     call.class_ = event.class_;
-    call.idempotent_ = requestClass.idempotent_;
+    call.routed_ = terms.routed_;
+    call.idempotent_ = terms.idempotent_;
+    call.priority_ = terms.priority_;
+    call.maxBackends_ = terms.maxBackends_;
+    call.bodySize_ = event.bodySize_;
+    call.valuableUntil_ = world.now_ + terms.latencyTarget_;
     call.replayable_ = event.replayable_;
     call.mayRide_ = event.mayRide_;
-    call.wholeBodyFirst_ = !requestClass.streamed_;
+    call.wholeBodyFirst_ = terms.wholeBodyFirst_;
     call.fingerprint_ = event.fingerprint_;
     call.key_ = event.key_;
     call.startedAt_ = world.now_;
-    const Millis timeout = event.timeout_ > Millis() ? std::min(event.timeout_, requestClass.deadline_) : requestClass.deadline_;
+    const Millis timeout = event.timeout_ > Millis() ? std::min(event.timeout_, terms.timeout_) : terms.timeout_;
     call.deadline_ = world.now_ + timeout;
     call.trace_ = event.trace_;
     call.parentSpan_ = event.parentSpan_;
@@ -107,6 +129,10 @@
 // Takes from the retry allowance what a further attempt costs. True for first attempts.
 bool payForAttempt(World &world, const Call &call)
 {
+    if (call.routed_) {
+        // An offer that no backend server has seen repeats nothing.
+        return call.backendsReached_ == 0 || takeRepeat(world, call.service_);
+    }
     TokenBucket &budget = retryBudget(world, call.service_);
     if (call.attemptsStarted_ == 0) {
         const ServiceSpec *spec = findService(world, call.service_);
@@ -116,9 +142,34 @@
     return budget.take(call.maybeRan_ ? RerunCost : ReofferCost, world.now_);
 }
 
+// True when a routed call can still be answered by a backend server that finds room a little later.
+bool mayStillWait(const World &world, const Call &call)
+{
+    const bool mayRepeat = call.backendsReached_ < call.maxBackends_ && (!call.maybeRan_ || call.idempotent_);
+    return mayRepeat && world.now_ + RoundWait + LeastWork < call.deadline_;
+}
+
+// No further backend server can be asked by a routed call now: asks again a little later, or gives up.
+void waitForRoom(World &world, CallId id, Call &call)
+{
+    if (call.waiting_ || (call.attempts_.empty() && !mayStillWait(world, call))) {
+        if (!call.waiting_) {
+            failCall(world, id, call.lastCode_);
+        }
+        return;
+    }
+    call.waiting_ = true;
+    const double drawn = RoundWait.fraction() * (0.75 + world.random_.unit() / 2);
+    world.timers_.add(world.now_ + Millis(static_cast<std::int64_t>(drawn)), TimerKind::CallRetry, id.packed());
+}
+
 // No backend server can be asked now: waits, or gives up.
-void handleNoCandidate(World &world, CallId id, const Call &call)
+void handleNoCandidate(World &world, CallId id, Call &call)
 {
+    if (call.routed_) {
+        waitForRoom(world, id, call);
+        return;
+    }
     if (!call.attempts_.empty()) {
         return;
     }
@@ -134,12 +185,13 @@
 // Starts a further attempt of one call if that is possible.
 void routeCall(World &world, CallId id)
 {
-    const Call *call = world.calls_.calls_.get(id);
+    Call *call = world.calls_.calls_.get(id);
     const bool waiting = call != nullptr && (call->state_ == CallState::Routing || call->state_ == CallState::Offering);
     if (!waiting || call->attempts_.size() >= MaxLiveAttempts) {
         return;
     }
-    const bool exhausted = call->attemptsStarted_ >= MaxAttempts;
+    const std::int32_t started = call->routed_ ? call->backendsReached_ : call->attemptsStarted_;
+    const bool exhausted = started >= call->maxBackends_;
     const InstanceId instance = exhausted ? InstanceId{} : chooseInstance(world, *call);
     if (!instance.isValid()) {
         handleNoCandidate(world, id, *call);
@@ -178,15 +230,23 @@
 void handle(World &world, const CallArrived &event)
 {
     world.counters_.add(Counter::Calls);
-    const ServiceSpec *spec = findService(world, event.service_);
+    world.lastCallAt_ = world.now_;
+    const ServiceName service = event.parts_.empty() ? event.service_ : drawService(event.parts_, world.random_);
+    const ServiceSpec *spec = findService(world, service);
     const RequestClass *requestClass = spec == nullptr ? nullptr : findClass(*spec, event.class_);
-    const ResultCode refusal = refusalOf(world, event, requestClass);
+    const ResultCode refusal = refusalOf(world, event, event.terms_.routed_ || requestClass != nullptr);
     if (refusal != ResultCode::Ok) {
         reportFailure(world, event.handle_, refusal, event.trace_);
         return;
     }
-    noteActive(world, event.service_);
-    const Call call = makeCall(world, event, *requestClass);
+    const CallTerms terms = event.terms_.routed_ ? event.terms_ : termsOf(*requestClass);
+    if (terms.routed_) {
+        noteCall(world, service);
+    } else {
+        noteActive(world, service);
+    }
+    Call call = makeCall(world, event, terms);
+    call.service_ = service;
     const Millis deadline = call.deadline_;
     const CallId id = world.calls_.calls_.create(call);
     world.calls_.byHandle_[event.handle_] = id;
@@ -220,6 +280,12 @@
     if (call == nullptr || call->state_ == CallState::Relaying || call->state_ == CallState::Ending) {
         return;
     }
+    if (call->routed_) {
+        // The caller's time is over: an answer at once serves it better than a certain one later.
+        call->maybeRan_ = call->maybeRan_ || anyMayRun(world, *call);
+        failCall(world, id, call->maybeRan_ ? ResultCode::DeadlineUnknown : ResultCode::DeadlineNotRun);
+        return;
+    }
     call->state_ = CallState::Ending;
     const std::vector<AttemptId> attempts = call->attempts_;
     for (const AttemptId attempt : attempts) {
@@ -234,7 +300,13 @@
 
 void expireRetryWait(World &world, std::uint64_t row)
 {
-    routeAgain(world, CallId::fromPacked(row));
+    const CallId id = CallId::fromPacked(row);
+    Call *call = world.calls_.calls_.get(id);
+    if (call != nullptr) {
+        call->waiting_ = false;
+        call->full_.clear();
+    }
+    routeAgain(world, id);
 }
 
 void failCall(World &world, CallId id, ResultCode code)
@@ -261,6 +333,9 @@
 
 bool payForRerun(World &world, const Call &call)
 {
+    if (call.routed_) {
+        return call.backendsReached_ + 1 < call.maxBackends_ && takeRepeat(world, call.service_);
+    }
     TokenBucket &budget = retryBudget(world, call.service_);
     return budget.has(RetryBurst / 2, world.now_) && budget.take(RerunCost, world.now_);
 }
--- a/src/call/call_type.h
+++ b/src/call/call_type.h
@@ -1,6 +1,7 @@
 // Ids and states of calls, attempts and admissions.
 #pragma once
 
+#include "core/clock_type.h"
 #include "core/pool.h"
 #include "core/units_type.h"
 
@@ -23,6 +24,24 @@
 // The front end's name of a connection on which an offer came.
 using ExchangeHandle = StrongType<struct ExchangeHandleTag, std::uint64_t>;
 
+// What a call asks of the daemons, from the ticket or desired state in force when it arrived.
+struct CallTerms {
+    // True when the call came by a route of the desired state rather than by a ticket's request class.
+    bool routed_ = false;
+    // True when a second run does no harm.
+    bool idempotent_ = false;
+    // True when the body must be whole before hand-over.
+    bool wholeBodyFirst_ = false;
+    // Urgency; zero is the most urgent.
+    std::uint8_t priority_ = 0;
+    // Most backend servers to which one call may be sent.
+    std::int32_t maxBackends_ = 0;
+    // Longest time that the operator lets the caller wait.
+    Millis timeout_;
+    // Time within which an answer has its full value; zero when none is stated.
+    Millis latencyTarget_;
+};
+
 // Where a call stands.
 enum class CallState : std::uint8_t {
     Routing, // Has no live attempt.
--- a/src/call/exchange_type.h
+++ b/src/call/exchange_type.h
@@ -28,6 +28,14 @@
     Fingerprint fingerprint_;
     // Idempotency key, or empty.
     std::string key_;
+    // True when the call came by a route of the desired state: the terms below hold, and no ticket need be known.
+    bool routed_ = false;
+    // True when a second run does no harm.
+    bool idempotent_ = false;
+    // Urgency; zero is the most urgent.
+    std::uint8_t priority_ = 0;
+    // Time left until the answer loses part of its value; negative once that has passed.
+    Millis valuable_;
     // True when the body follows the offer at once and an immediate admission hands it over.
     bool bodyRides_ = false;
     // True when the inbound side must have the whole body before it hands the request over.
@@ -51,6 +59,8 @@
     Verdict verdict_ = Verdict::Refused;
     // Why it was refused.
     std::uint16_t code_ = 0;
+    // Load of the backend server at this moment.
+    LoadReport report_;
 };
 
 // Confirms an admission that needs it. The body follows unless it rode with the offer.
--- /dev/null
+++ b/src/call/gate_func.h
@@ -0,0 +1,53 @@
+// Decides when work may start at the backend server beside this daemon.
+//
+// Load pattern: a server shares its machine with others, so that for a fraction of a second at a time all work takes several times
+// as long, and the state at the moment when a request starts decides its whole length. Requests wait out such a phase, or go
+// elsewhere, rather than start in it.
+#pragma once
+
+#include "call/call_base.h"
+#include "core/clock_type.h"
+#include "world/event_type.h"
+
+#include <cstdint>
+
+namespace radishford {
+
+struct BrokenRequest;
+struct World;
+
+// What is known of the backend server's present speed.
+enum class GateState : std::uint8_t {
+    Open, // Work may start.
+    Shut, // Work takes much longer than usual at this moment.
+    Unknown, // The latest figure is too old; a check tells.
+};
+
+// Whether work may start now.
+GateState gateState(const World &world);
+
+// True when the server has room for a request: the last slots are kept for requests that have waited.
+bool hasRoomFor(const World &world, const Admission &row);
+
+// Asks the backend server for its load unless a check runs.
+void askForCheck(World &world);
+
+// Puts the time of the next check while requests wait.
+void checkLater(World &world, GateState gate);
+
+// Holds a broken request back until a check tells whether the backend server crashed.
+void askAfterBreak(World &world, const BrokenRequest &broken);
+
+// Takes what a check found.
+void handle(World &world, const BackendChecked &event);
+
+// Takes a load figure that came with an answer.
+void noteLoad(World &world, const BackendLoad &load);
+
+// Sends checks that are due.
+void runGate(World &world);
+
+// When the gate system must run next.
+Millis nextGate(const World &world);
+
+} // namespace radishford
--- /dev/null
+++ b/src/call/gate_system.cpp
@@ -0,0 +1,185 @@
+// Decides when work may start at the backend server beside this daemon.
+#include "call/gate_func.h"
+
+#include "call/admission_func.h"
+#include "call/backend_func.h"
+#include "call/suspect_func.h"
+#include "ticket/route_func.h"
+#include "world/world.h"
+
+#include <algorithm>
+
+namespace radishford {
+
+namespace {
+
+// A figure older than this does not tell the state any more: phases last a fraction of a second.
+constexpr Millis FreshFor{12};
+// Without allowance for a check, a figure up to this age is taken all the same.
+constexpr Millis UsableFor{60};
+// Time between checks while requests wait for a phase to end.
+constexpr Millis CheckInterval{12};
+// A check without an answer for this long has failed.
+constexpr Millis CheckTimeout{500};
+// Work that takes this many times as long as usual for the server is not started.
+constexpr double SlowFactor = 1.8;
+// The figure taken as usual rises towards the present one by this part with each newer figure.
+constexpr double UsualRise = 0.004;
+// Checks that may be sent at once after a pause.
+constexpr double CheckBurst = 20.0;
+// Servers slow down when nearly all slots are taken; requests that have just come leave this part free.
+constexpr double FreeShare = 0.25;
+// A request that has waited this long may take one of the last slots.
+constexpr Millis PatientAfter{60};
+
+// True when checks can tell anything: the path is known and the server has told its speed before, or was never asked.
+bool canCheck(const World &world)
+{
+    const LocalBackend &backend = world.admissions_.backend_;
+    return world.settings_.checksPerSecond_ > 0 && !healthPathOf(world.routes_, backend.service_).empty();
+}
+
+// Sends a check.
+void sendCheck(World &world)
+{
+    CheckTable &checks = world.admissions_.checks_;
+    const LocalBackend &backend = world.admissions_.backend_;
+    checks.running_ = true;
+    checks.startedAt_ = world.now_;
+    checks.nextAt_ = Millis::never();
+    world.counters_.add(Counter::BackendChecks);
+    world.emit(CheckBackend{backend.address_, healthPathOf(world.routes_, backend.service_)});
+}
+
+// Ends the requests that waited to learn whether the backend server crashed.
+void settleBroken(World &world, bool alive)
+{
+    const std::vector<BrokenRequest> broken = std::exchange(world.admissions_.checks_.broken_, {});
+    for (const BrokenRequest &request : broken) {
+        const ResultCode code = alive ? ResultCode::AnswerLost : ResultCode::BackendFailed;
+        ++world.counters_.results_[code];
+        if (alive) {
+            world.emit(FailExchange{request.exchange_, Failed{request.attempt_, numberOf(code)}});
+        } else {
+            markSuspect(world, request.fingerprint_, request.isBystander_, request.exchange_, request.attempt_);
+        }
+    }
+}
+
+// Sets the rate of checks once it is known.
+void fillAllowance(World &world)
+{
+    CheckTable &checks = world.admissions_.checks_;
+    checks.allowance_.setRate(world.settings_.checksPerSecond_, CheckBurst, world.now_);
+}
+
+} // namespace
+
+GateState gateState(const World &world)
+{
+    const LocalBackend &backend = world.admissions_.backend_;
+    if (!canCheck(world)) {
+        return GateState::Open;
+    }
+    if (world.admissions_.checks_.useless_) {
+        return GateState::Open;
+    }
+    const bool told = backend.slownessAt_ != Millis();
+    const Millis age = world.now_ - backend.slownessAt_;
+    TokenBucket allowance = world.admissions_.checks_.allowance_;
+    const bool mayAsk = allowance.has(1, world.now_);
+    if (!told || age > (mayAsk ? FreshFor : UsableFor)) {
+        return mayAsk || world.admissions_.checks_.running_ ? GateState::Unknown : GateState::Open;
+    }
+    if (backend.slowness_ == Percent()) {
+        return GateState::Open;
+    }
+    return backend.slowness_.value() > backend.usualSlowness_ * SlowFactor ? GateState::Shut : GateState::Open;
+}
+
+bool hasRoomFor(const World &world, const Admission &row)
+{
+    const double limit = limitNow(world).value();
+    const bool patient = world.now_ - row.arrivedAt_ >= PatientAfter;
+    const double open = patient ? limit : std::max(1.0, limit * (1 - FreeShare));
+    return world.admissions_.inFlight_.value() < open;
+}
+
+void askForCheck(World &world)
+{
+    CheckTable &checks = world.admissions_.checks_;
+    if (checks.running_ || !canCheck(world)) {
+        return;
+    }
+    fillAllowance(world);
+    if (checks.allowance_.take(1, world.now_)) {
+        sendCheck(world);
+    }
+}
+
+void checkLater(World &world, GateState gate)
+{
+    CheckTable &checks = world.admissions_.checks_;
+    const bool waits = world.admissions_.queued_ > Slots();
+    const bool worthwhile = waits && gate == GateState::Shut && !checks.running_;
+    checks.nextAt_ = worthwhile ? std::max(world.now_, checks.startedAt_ + CheckInterval) : Millis::never();
+}
+
+void askAfterBreak(World &world, const BrokenRequest &broken)
+{
+    world.admissions_.checks_.broken_.push_back(broken);
+    if (!canCheck(world)) {
+        settleBroken(world, false);
+    } else if (!world.admissions_.checks_.running_) {
+        sendCheck(world);
+    }
+}
+
+void handle(World &world, const BackendChecked &event)
+{
+    CheckTable &checks = world.admissions_.checks_;
+    const LocalBackend &backend = world.admissions_.backend_;
+    checks.running_ = false;
+    const bool same = event.ok_ && (backend.id_.value().empty() || event.id_ == backend.id_);
+    settleBroken(world, same);
+    if (same) {
+        noteLoad(world, event.load_);
+        checks.useless_ = event.load_.slowness_ == Percent();
+    }
+    // Without a figure the gate stays open for a while rather than hold requests back.
+    world.admissions_.backend_.slownessAt_ = world.now_;
+}
+
+void noteLoad(World &world, const BackendLoad &load)
+{
+    LocalBackend &backend = world.admissions_.backend_;
+    if (load.slowness_ == Percent()) {
+        return;
+    }
+    const double told = load.slowness_.value();
+    backend.slowness_ = load.slowness_;
+    backend.slownessAt_ = world.now_;
+    const bool lower = backend.usualSlowness_ == 0 || told < backend.usualSlowness_;
+    backend.usualSlowness_ = lower ? told : backend.usualSlowness_ + (told - backend.usualSlowness_) * UsualRise;
+}
+
+void runGate(World &world)
+{
+    CheckTable &checks = world.admissions_.checks_;
+    if (checks.running_ && world.now_ - checks.startedAt_ >= CheckTimeout) {
+        handle(world, BackendChecked{});
+    }
+    if (world.now_ >= checks.nextAt_) {
+        checks.nextAt_ = Millis::never();
+        askForCheck(world);
+    }
+}
+
+Millis nextGate(const World &world)
+{
+    const CheckTable &checks = world.admissions_.checks_;
+    const Millis timeout = checks.running_ ? checks.startedAt_ + CheckTimeout : Millis::never();
+    return std::min(timeout, checks.nextAt_);
+}
+
+} // namespace radishford
--- a/src/call/suspect_system.cpp
+++ b/src/call/suspect_system.cpp
@@ -12,8 +12,9 @@
 
 namespace {
 
-// Failures after which a request is refused.
+// Failures after which a request is refused; in a routed deployment requests of one path are alike, and one more is needed.
 constexpr std::size_t QuarantineFailures = 2;
+constexpr std::size_t RoutedQuarantineFailures = 3;
 // A notice is repeated after this time, and so often at most.
 constexpr Millis ResendInterval{40};
 constexpr std::int32_t MaxSends = 5;
@@ -23,6 +24,12 @@
 constexpr Millis DefaultQuarantine{600000};
 constexpr int HexBase = 16;
 
+// Failures after which a request is refused here.
+std::size_t failuresToQuarantine(const World &world)
+{
+    return world.settings_.routed_ ? RoutedQuarantineFailures : QuarantineFailures;
+}
+
 // How long suspicion lasts.
 Millis quarantineSpan(const World &world)
 {
@@ -34,12 +41,12 @@
 void addFailure(World &world, Fingerprint fingerprint, std::uint64_t failure)
 {
     Suspect &suspect = world.suspects_.rows_[fingerprint];
-    const bool room = suspect.failures_.size() < QuarantineFailures;
+    const bool room = suspect.failures_.size() < failuresToQuarantine(world);
     if (!room || !suspect.failures_.insert(failure).second) {
         return;
     }
     suspect.until_ = world.now_ + quarantineSpan(world);
-    if (suspect.failures_.size() >= QuarantineFailures) {
+    if (suspect.failures_.size() >= failuresToQuarantine(world)) {
         std::string text = "request quarantined: fingerprint ";
         text += std::to_string(fingerprint.value());
         world.emit(LogChange{std::move(text)});
@@ -108,7 +115,7 @@
     if (found == world.suspects_.rows_.end() || found->second.until_ <= world.now_) {
         return false;
     }
-    return found->second.forbidden_ || found->second.failures_.size() >= QuarantineFailures;
+    return found->second.forbidden_ || found->second.failures_.size() >= failuresToQuarantine(world);
 }
 
 void markSuspect(World &world, Fingerprint fingerprint, bool isBystander, ExchangeHandle exchange, std::uint64_t attempt)
--- a/src/core/result_code.h
+++ b/src/core/result_code.h
@@ -37,11 +37,16 @@
     BackendUnreachable = 1018, // No connection to the backend server could be opened.
     KeyMismatch = 1019, // The idempotency key was used before with another request.
     PeerUnreachable = 1020, // The daemon beside the backend server could not be reached.
+    BackendRefused = 1021, // The backend server said that it did not run the request.
+    WrongInstance = 1022, // Another backend server has the address.
+    NoRoute = 1023, // No route of the desired state takes the request.
+    NoRoom = 1024, // No backend server can answer in time.
     AnswerLost = 2001, // The connection broke after hand-over.
     DeadlineUnknown = 2002, // The deadline passed after hand-over.
     KeyTaken = 2003, // The idempotency key was claimed by an earlier request.
     PeerSilent = 2004, // A withdrawal was not confirmed.
     BackendFailed = 2005, // The backend server broke the connection while it ran the request.
+    AnswerSpoiled = 2006, // The backend server's answer was not the request's own whole answer.
     BadAddress = 3001, // Not an IPv4 address and port.
     UnknownKey = 3002, // A setting or ticket field that does not exist.
     WrongType = 3003, // A field of the wrong JSON type.
--- a/src/core/units_type.h
+++ b/src/core/units_type.h
@@ -23,9 +23,15 @@
 // Name of a service, as operators declare it.
 using ServiceName = StrongType<struct ServiceNameTag, std::string>;
 
+// Id by which a backend server names one start of itself.
+using BackendId = StrongType<struct BackendIdTag, std::string>;
+
 // Name of a request class within its service.
 using ClassName = StrongType<struct ClassNameTag, std::string>;
 
+// A share or factor in hundredths.
+using Percent = StrongType<struct PercentTag, std::int32_t>;
+
 // Index of a failure domain in the settings' list of places.
 using FailureDomainId = StrongType<struct FailureDomainIdTag, std::uint8_t>;
 
@@ -38,6 +44,9 @@
 // Number of a change ticket. Zero stands for no ticket.
 using TicketNumber = StrongType<struct TicketNumberTag, std::uint64_t>;
 
+// Position in the history of the platform's store.
+using StoreRevision = StrongType<struct StoreRevisionTag, std::uint64_t>;
+
 // Hash of a request's method, target and body.
 using Fingerprint = StrongType<struct FingerprintTag, std::uint64_t>;
 
--- a/src/daemon/admin_pages.cpp
+++ b/src/daemon/admin_pages.cpp
@@ -76,7 +76,7 @@
 constexpr std::array Pages{
     PageEntry{"/metrics", &AdminPages::metricsPage},       PageEntry{"/spans", &AdminPages::spansPage},     PageEntry{"/status", &AdminPages::statusPage},
     PageEntry{"/members", &AdminPages::membersPage},       PageEntry{"/objects", &AdminPages::objectsPage}, PageEntry{"/budget", &AdminPages::budgetPage},
-    PageEntry{"/quarantine", &AdminPages::quarantinePage},
+    PageEntry{"/quarantine", &AdminPages::quarantinePage}, PageEntry{"/ready", &AdminPages::readyPage},
 };
 
 } // namespace
@@ -113,6 +113,15 @@
     return makeResponse(OkStatus, "application/json", engine_.spans().toOtlp(trace, settings_.world_.name_.value()) + "\n");
 }
 
+TextResponse AdminPages::readyPage(const std::string & /*query*/)
+{
+    const World &world = engine_.world();
+    if (isLeaving(world)) {
+        return failureResponse(ResultCode::DaemonLeaving, "", true);
+    }
+    return world.tickets_.current_ ? makeResponse(OkStatus, "text/plain", "ready\n") : failureResponse(ResultCode::NotReady, "", true);
+}
+
 TextResponse AdminPages::statusPage(const std::string & /*query*/)
 {
     const World &world = engine_.world();
--- a/src/daemon/admin_pages.h
+++ b/src/daemon/admin_pages.h
@@ -27,6 +27,7 @@
     // Pages, each for one path.
     TextResponse metricsPage(const std::string &query);
     TextResponse spansPage(const std::string &query);
+    TextResponse readyPage(const std::string &query);
     TextResponse statusPage(const std::string &query);
     TextResponse membersPage(const std::string &query);
     TextResponse objectsPage(const std::string &query);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -30,16 +30,16 @@
 
 } // namespace
 
-Daemon::Daemon(asio::io_context &context, const DaemonSettings &settings, std::uint64_t seed)
+Daemon::Daemon(asio::io_context &context, const DaemonSettings &settings, const Dialect &dialect, std::uint64_t seed)
     : context_(context)
     , settings_(settings)
     , engine_(context, settings.world_, seed, *this)
-    , callers_(engine_, settings.callerAddress_, settings.callerLimits_)
+    , callers_(engine_, settings.callerAddress_, settings.callerLimits_, dialect.calls_)
     , exchangeClient_(engine_, callers_)
-    , exchangeServer_(engine_, settings.world_.address_, settings.exchangeLimits_)
+    , exchangeServer_(engine_, settings.world_.address_, settings.exchangeLimits_, dialect.backend_)
     , datagrams_(engine_, settings.world_.address_)
-    , store_(engine_, settings.storeAddress_)
-    , announce_(engine_, settings.announceAddress_)
+    , store_(engine_, settings.storeAddress_, dialect.store_)
+    , announce_(engine_, settings.announceAddress_, dialect.backend_)
     , admin_(engine_, settings)
 {
 }
@@ -90,7 +90,7 @@
 
 void Daemon::on(const FailCall &effect)
 {
-    callers_.fail(effect.call_, effect.code_);
+    callers_.fail(effect);
 }
 
 void Daemon::on(const AbortCall &effect)
@@ -128,6 +128,11 @@
     exchangeServer_.cancel(effect);
 }
 
+void Daemon::on(const CheckBackend &effect)
+{
+    exchangeServer_.check(effect);
+}
+
 void Daemon::on(const SendDatagram &effect)
 {
     datagrams_.send(effect);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -18,7 +18,7 @@
 {
 public:
     // Opens all ports. Throws boost::system::system_error when one is taken.
-    Daemon(asio::io_context &context, const DaemonSettings &settings, std::uint64_t seed);
+    Daemon(asio::io_context &context, const DaemonSettings &settings, const Dialect &dialect, std::uint64_t seed);
 
     // Starts to serve.
     void start();
@@ -42,6 +42,7 @@
     void on(const FailExchange &effect);
     void on(const EndExchange &effect);
     void on(const CancelBackend &effect);
+    void on(const CheckBackend &effect);
     void on(const SendDatagram &effect);
     void on(const SendTicketPull &effect);
     void on(const SendTicketBatch &effect);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -2,6 +2,8 @@
 #include "core/error.h"
 #include "daemon/daemon.h"
 #include "daemon/log.h"
+#include "platform/dialect.h"
+#include "wire/json_reader.h"
 
 #include <boost/program_options.hpp>
 
@@ -27,6 +29,7 @@
     add("help,h", "show this text");
     add("version", "show the version");
     add("settings,s", options::value<std::string>(), "settings file, JSON");
+    add("platform-settings", options::value<std::string>(), "settings file in the platform's form; calls are routed by its desired state");
     add("check-settings", "check the settings file and end");
     return description;
 }
@@ -39,13 +42,13 @@
 }
 
 // Runs a daemon until it is asked to end and nothing is in flight.
-void runDaemon(DaemonSettings settings)
+void runDaemon(DaemonSettings settings, const Dialect &dialect)
 {
     settings.world_.incarnation_ = Incarnation(unixMillis());
     startLog(settings.world_.name_.value());
     asio::io_context context(1);
     std::random_device device;
-    Daemon daemon(context, settings, (static_cast<std::uint64_t>(device()) << 32U) | device());
+    Daemon daemon(context, settings, dialect, (static_cast<std::uint64_t>(device()) << 32U) | device());
     daemon.start();
     asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&](const error_code & /*problem*/, int /*number*/) { daemon.shutDown(); });
@@ -68,16 +71,18 @@
         std::cout << "radishfordd " RADISHFORD_VERSION "\n";
         return ExitOk;
     }
-    if (values.count("settings") == 0) {
-        std::cerr << "radishfordd: --settings is required\n" << description;
+    const bool onPlatform = values.count("platform-settings") > 0;
+    if (values.count("settings") + values.count("platform-settings") != 1) {
+        std::cerr << "radishfordd: either --settings or --platform-settings is required\n" << description;
         return ExitBadSettings;
     }
-    const DaemonSettings settings = readSettings(values["settings"].as<std::string>());
+    const DaemonSettings settings
+        = onPlatform ? platform::parseSettings(readFile(values["platform-settings"].as<std::string>())) : readSettings(values["settings"].as<std::string>());
     if (values.count("check-settings") > 0) {
         std::cout << "settings are valid\n";
         return ExitOk;
     }
-    runDaemon(settings);
+    runDaemon(settings, onPlatform ? platform::dialect() : ownDialect());
     return ExitOk;
 }
 
--- a/src/fleet/gossip_func.h
+++ b/src/fleet/gossip_func.h
@@ -21,6 +21,9 @@
 // Writes the own record anew from the state of the backend server, and spreads it.
 void publishSelf(World &world, Health health);
 
+// Sends a heartbeat to an address of which only the store or the settings tell.
+void contact(World &world, const Address &address);
+
 // Sends a heartbeat to one daemon in each failure domain at once, so that a change need not wait for its turn.
 void announceWidely(World &world);
 
--- a/src/fleet/gossip_system.cpp
+++ b/src/fleet/gossip_system.cpp
@@ -327,13 +327,29 @@
     }
 }
 
+// Adds the record that is held here about the sender, when it is newer than the sender's own: after a clock step back, a restarted
+// daemon looks older than its predecessor until it refutes that.
+void addRumour(const World &world, const GossipHeader &header, std::vector<InstanceRecord> &records)
+{
+    const auto known = world.fleet_.byName_.find(header.sender_);
+    if (known == world.fleet_.byName_.end() || header.records_.empty()) {
+        return;
+    }
+    const InstanceRecord &held = world.fleet_.rows_.get(known->second)->record_;
+    if (supersedes(held, header.records_.front())) {
+        records.push_back(held);
+    }
+}
+
 // Answers a ping.
 void take(World &world, const Address &from, const Ping &ping)
 {
     takeHeader(world, from, ping.header_);
     helpJoin(world, from, ping.header_.running_);
     const bool differs = ping.header_.tableHash_ != world.fleet_.tableHash_;
-    sendMembership(world, from, Ack{makeHeader(world, ping.header_.sequence_, differs)});
+    Ack ack{makeHeader(world, ping.header_.sequence_, differs)};
+    addRumour(world, ping.header_, ack.header_.records_);
+    sendMembership(world, from, std::move(ack));
 }
 
 // Passes an acknowledgement back to the daemon that asked for the ping.
@@ -432,6 +448,11 @@
     replaceSelf(world, ownRecord(world, health), self.record_.version_ + 1);
 }
 
+void contact(World &world, const Address &address)
+{
+    sendPing(world, instanceAt(world, address), address);
+}
+
 void announceWidely(World &world)
 {
     for (const std::vector<InstanceId> &domain : world.fleet_.byDomain_) {
--- a/src/measure/choose.cpp
+++ b/src/measure/choose.cpp
@@ -3,6 +3,7 @@
 
 #include "call/call_base.h"
 #include "fleet/instance_func.h"
+#include "measure/predict_func.h"
 #include "world/world.h"
 
 #include <algorithm>
@@ -195,6 +196,9 @@
 
 InstanceId chooseInstance(World &world, const Call &call)
 {
+    if (call.routed_) {
+        return choosePredicted(world, call);
+    }
     const auto members = world.fleet_.byService_.find(call.service_);
     if (members == world.fleet_.byService_.end()) {
         return InstanceId{};
--- a/src/measure/load_type.h
+++ b/src/measure/load_type.h
@@ -16,6 +16,8 @@
     Slots limit_;
     // Moving average of the time from hand-over to the whole answer.
     Millis latency_;
+    // How long work takes at this moment, in parts of the usual; zero when the backend server does not tell.
+    Percent slowness_;
 };
 
 } // namespace radishford
--- /dev/null
+++ b/src/measure/predict.cpp
@@ -0,0 +1,119 @@
+// Choice of a backend server for a routed call by the predicted time to its answer.
+#include "measure/predict_func.h"
+
+#include "call/call_base.h"
+#include "fleet/instance_func.h"
+#include "measure/choose_func.h"
+#include "world/world.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace radishford {
+
+namespace {
+
+// Speeds of servers change within about this time; a report says less and less meanwhile.
+constexpr double PhaseMs = 110.0;
+// Slowness expected where no fresh report tells, in parts of the usual.
+constexpr double MeanSlowness = 1.6;
+// Most by which a reported slowness counts: such a server does not start work, and its phase ends soon.
+constexpr double MostSlowness = 2.5;
+// Latency assumed where no report tells.
+constexpr double UnknownLatencyMs = 50.0;
+// Load above which a server has hardly room, in parts of its limit.
+constexpr double BusyLoad = 0.75;
+// Round trips by distance.
+constexpr double DomainRoundTripMs = 0.3;
+constexpr double RegionRoundTripMs = 3.0;
+constexpr double FarRoundTripMs = 17.0;
+// Waiting that is worth keeping a kilobyte within its failure domain, or its region: such traffic is billed.
+constexpr double CrossDomainMsPerKilobyte = 3.0;
+constexpr double CrossRegionMsPerKilobyte = 4.0;
+// Bytes of an answer and of the messages around it.
+constexpr double AnswerKilobytes = 2.0;
+// Waiting that a call accepts at once rather than stay near.
+constexpr double PatienceMs = 30.0;
+// Spread of equal choices, so that daemons with the same view do not meet at one server.
+constexpr double JitterMs = 6.0;
+constexpr double BytesPerKilobyte = 1000.0;
+constexpr double PercentScale = 100.0;
+
+// What it takes to reach an instance, in milliseconds of waiting.
+double distanceTo(const World &world, const Call &call, const Instance &instance)
+{
+    const Instance &self = *world.fleet_.rows_.get(world.fleet_.self_);
+    const double kilobytes = static_cast<double>(call.bodySize_.value()) / BytesPerKilobyte + AnswerKilobytes;
+    if (instance.domain_ == self.domain_) {
+        return DomainRoundTripMs;
+    }
+    if (instance.region_ == self.region_) {
+        return RegionRoundTripMs + kilobytes * CrossDomainMsPerKilobyte;
+    }
+    return FarRoundTripMs + kilobytes * CrossRegionMsPerKilobyte;
+}
+
+// Predicted time from the start of work to its end, and the wait before it.
+double workAt(const World &world, const Instance &instance)
+{
+    if (instance.reportedAt_ == Millis::never()) {
+        return UnknownLatencyMs * MeanSlowness;
+    }
+    const LoadReport &report = instance.report_;
+    const double age = (world.now_ - instance.reportedAt_).fraction();
+    const double weight = std::exp(-age / PhaseMs);
+    const double told = report.slowness_ == Percent() ? 1.0 : std::min(MostSlowness, report.slowness_.value() / PercentScale);
+    const double slowness = weight * told + (1 - weight) * MeanSlowness;
+    const double latency = std::max(1.0, report.latency_.fraction());
+    const double limit = std::max(1, report.limit_.value());
+    const int started = std::min(instance.startedSinceReport_, instance.outstanding_);
+    const double load = ((report.inFlight_ + report.queued_).value() * weight + started) / limit;
+    const double wait = load > BusyLoad ? (load - BusyLoad + 0.1) * latency : 0;
+    return latency * slowness + wait;
+}
+
+// True when an instance can take an attempt of a call.
+bool isEligible(const World &world, const Call &call, InstanceId id, const Instance &instance)
+{
+    const auto names = [&](const std::vector<InstanceName> &list) { return std::find(list.begin(), list.end(), instance.record_.name_) != list.end(); };
+    const bool running = isRunning(instance) && instance.record_.backend_ == BackendState::Ready;
+    const bool asked = names(call.tried_) || names(call.full_);
+    const bool open
+        = std::any_of(call.attempts_.begin(), call.attempts_.end(), [&](AttemptId attempt) { return world.calls_.attempts_.get(attempt)->instance_ == id; });
+    return running && !asked && !open && instance.avoidUntil_ <= world.now_;
+}
+
+} // namespace
+
+InstanceId choosePredicted(World &world, const Call &call)
+{
+    const auto members = world.fleet_.byService_.find(call.service_);
+    if (members == world.fleet_.byService_.end()) {
+        return InstanceId{};
+    }
+    double nearest = -1;
+    for (const InstanceId id : members->second) {
+        const Instance &instance = *world.fleet_.rows_.get(id);
+        const bool ready = isRunning(instance) && instance.record_.backend_ == BackendState::Ready && instance.avoidUntil_ <= world.now_;
+        const double distance = distanceTo(world, call, instance);
+        nearest = ready && (nearest < 0 || distance < nearest) ? distance : nearest;
+    }
+    const double reach = std::max(nearest, PatienceMs + (world.now_ - call.startedAt_).fraction());
+    InstanceId best;
+    double bestEnd = 0;
+    for (const InstanceId id : members->second) {
+        const Instance &instance = *world.fleet_.rows_.get(id);
+        const double distance = distanceTo(world, call, instance);
+        if (distance > reach || !isEligible(world, call, id, instance)) {
+            continue;
+        }
+        const double end = workAt(world, instance) + distance + world.random_.unit() * JitterMs;
+        if (!best.isValid() || end < bestEnd) {
+            best = id;
+            bestEnd = end;
+        }
+    }
+    return best;
+}
+
+} // namespace radishford
--- a/src/net/backend_client.cpp
+++ b/src/net/backend_client.cpp
@@ -3,6 +3,11 @@
 
 #include "net/caller_request.h"
 #include "net/http_fields.h"
+#include "net/socket_options.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
 
 namespace radishford {
 
@@ -10,13 +15,19 @@
 
 // A connection to the backend server must open within this time.
 constexpr std::chrono::milliseconds ConnectTimeout(500);
-// Bytes of a body that may wait.
-constexpr std::size_t MaxWaiting = std::size_t{256} << 10U;
+// A health check must be answered within this time.
+constexpr std::chrono::milliseconds CheckTimeout(400);
 // Connections kept for further requests.
 constexpr std::size_t MaxKept = 64;
+// Answers of earlier requests that are skipped on one connection.
+constexpr int MaxStale = 4;
+// A connection is not used in the last moments before the backend server closes it.
+constexpr Millis CloseMargin{1000};
+// How long a connection is kept when the backend server does not tell.
+constexpr Millis DefaultKeep{4000};
 constexpr unsigned HttpVersion = 11;
 
-// True when a kept connection was closed by the backend server.
+// True when a kept connection was closed by the backend server, or has bytes that no request asked for.
 bool isStale(beast::tcp_stream &stream)
 {
     char byte = 0;
@@ -39,79 +50,47 @@
     return head;
 }
 
-} // namespace
-
-BodyPipe::BodyPipe(const asio::any_io_executor &executor)
-    : changed_(executor)
+// How long the backend server keeps an idle connection open, by the "timeout" parameter of its Keep-Alive field.
+Millis keepTimeOf(const AnswerHeader &header)
 {
-}
-
-void BodyPipe::push(std::string bytes)
-{
-    waiting_ += bytes.size();
-    total_ += bytes.size();
-    parts_.push_back(std::move(bytes));
-    changed_.notify();
-}
-
-void BodyPipe::end(bool whole)
-{
-    if (ended_) {
-        return;
+    constexpr std::string_view Parameter = "timeout=";
+    constexpr std::int64_t MillisPerSecond = 1000;
+    const std::string field(header[http::field::keep_alive]);
+    const std::size_t at = field.find(Parameter);
+    if (at == std::string::npos) {
+        return DefaultKeep;
     }
-    ended_ = true;
-    whole_ = whole;
-    changed_.notify();
+    std::int64_t seconds = 0;
+    std::from_chars(field.data() + at + Parameter.size(), field.data() + field.size(), seconds);
+    return std::max(Millis(), Millis(seconds * MillisPerSecond) - CloseMargin);
 }
 
-Task<> BodyPipe::hasRoom()
+// What the world is told about an answer that was not passed on.
+BackendFault faultOf(AnswerKind kind)
 {
-    while (!ended_ && waiting_ > MaxWaiting) {
-        co_await changed_.wait();
+    switch (kind) {
+    case AnswerKind::Refused:
+        return BackendFault::Refused;
+    case AnswerKind::WrongInstance:
+        return BackendFault::WrongInstance;
+    default:
+        return BackendFault::Spoiled;
     }
 }
 
-Task<std::optional<std::string>> BodyPipe::pop()
-{
-    while (parts_.empty() && !ended_) {
-        co_await changed_.wait();
-    }
-    if (ended_ && !whole_) {
-        co_return std::nullopt;
-    }
-    if (parts_.empty()) {
-        co_return std::string();
-    }
-    std::string part = std::move(parts_.front());
-    parts_.pop_front();
-    waiting_ -= part.size();
-    changed_.notify();
-    co_return part;
-}
-
-std::uint64_t BodyPipe::total() const
-{
-    return total_;
-}
-
-bool BodyPipe::isWhole() const
-{
-    return whole_;
-}
-
-bool BodyPipe::isBroken() const
-{
-    return ended_ && !whole_;
-}
+} // namespace
 
-BackendClient::BackendClient(Engine &engine)
+BackendClient::BackendClient(Engine &engine, const BackendDialect &dialect)
     : engine_(engine)
+    , dialect_(dialect)
 {
 }
 
-void BackendClient::start(const std::shared_ptr<BackendRequest> &request, const Address &backend, Millis remaining)
+void BackendClient::start(const RequestPtr &request, const HandOver &effect)
 {
-    asio::co_spawn(engine_.context(), run(request, backend, remaining), asio::detached);
+    request->terms_.id_ = effect.id_;
+    request->deadline_ = Engine::now() + effect.remaining_;
+    asio::co_spawn(engine_.context(), run(request, effect.backend_), asio::detached);
 }
 
 void BackendClient::cancel(BackendRequest &request)
@@ -123,42 +102,77 @@
     }
 }
 
-Task<> BackendClient::run(std::shared_ptr<BackendRequest> request, Address backend, Millis remaining)
+void BackendClient::check(const CheckBackend &effect)
+{
+    asio::co_spawn(engine_.context(), runCheck(effect), asio::detached);
+}
+
+Task<> BackendClient::run(RequestPtr request, Address backend)
 {
-    const auto stream = co_await connect(backend);
-    if (!stream || request->cancelled_) {
-        engine_.post(BackendFailed{request->exchange_, BackendFault::Unreachable});
+    const StreamPtr stream = co_await connect(backend);
+    request->terms_.remaining_ = request->deadline_ - Engine::now();
+    if (!stream || request->cancelled_ || request->terms_.remaining_ <= Millis()) {
+        engine_.post(BackendFailed{request->exchange_, BackendFault::Unreachable, {}});
         co_return;
     }
     request->stream_ = stream;
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(boost::none);
-    parser.skip(request->head_.method_ == "HEAD");
-    const bool whole = co_await writeRequest(*request, remaining) && co_await relayAnswer(*request, parser);
+    // A backend server may answer before it has read the whole body, so both directions run at once.
+    asio::co_spawn(engine_.context(), writeRequest(request, stream), asio::detached);
+    const AnswerEnding ending = co_await readAnswer(*request, *stream);
     request->stream_.reset();
-    if (!whole) {
+    if (ending.whole_ && ending.reusable_ && request->written_) {
+        keep(backend, stream, ending.keepFor_);
+    } else {
         stream->close();
-        const bool bodyBroken = request->body_->isBroken();
-        engine_.post(BackendFailed{request->exchange_, bodyBroken ? BackendFault::BodyBroken : BackendFault::Broken});
-        co_return;
     }
-    if (parser.keep_alive() && kept_.size() < MaxKept && keptFor_ == backend) {
-        kept_.push_back(stream);
+    if (ending.whole_ && ending.kind_ == AnswerKind::Own) {
+        engine_.post(BackendAnswered{request->exchange_, ending.status_, ending.load_});
+    } else if (ending.kind_ != AnswerKind::Own) {
+        engine_.post(BackendFailed{request->exchange_, faultOf(ending.kind_), ending.load_});
+    } else {
+        const BackendFault fault = request->body_->isBroken() ? BackendFault::BodyBroken : BackendFault::Broken;
+        engine_.post(BackendFailed{request->exchange_, fault, {}});
     }
-    engine_.post(BackendAnswered{request->exchange_, static_cast<std::uint16_t>(parser.get().result_int())});
 }
 
-Task<std::shared_ptr<beast::tcp_stream>> BackendClient::connect(Address backend)
+Task<> BackendClient::runCheck(CheckBackend effect)
+{
+    BackendChecked event;
+    const StreamPtr stream = co_await connect(effect.backend_);
+    if (stream) {
+        error_code problem;
+        TextRequest request = makeRequest(http::verb::get, effect.path_);
+        stream->expires_after(CheckTimeout);
+        co_await http::async_write(*stream, request, asio::redirect_error(asio::use_awaitable, problem));
+        beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+        if (!problem) {
+            co_await http::async_read(*stream, buffer, parser, asio::redirect_error(asio::use_awaitable, problem));
+        }
+        stream->expires_never();
+        if (!problem) {
+            event.ok_ = parser.get().result() == http::status::ok;
+            event.id_ = dialect_.idOf(parser.get());
+            event.load_ = dialect_.loadOf(parser.get());
+        }
+        if (!problem && parser.keep_alive() && buffer.size() == 0) {
+            keep(effect.backend_, stream, keepTimeOf(parser.get()));
+        }
+    }
+    engine_.post(event);
+}
+
+Task<BackendClient::StreamPtr> BackendClient::connect(Address backend)
 {
     if (keptFor_ != backend) {
         kept_.clear();
         keptFor_ = backend;
     }
     while (!kept_.empty()) {
-        const auto stream = kept_.back();
+        const Kept kept = kept_.back();
         kept_.pop_back();
-        if (!isStale(*stream)) {
-            co_return stream;
+        if (Engine::now() < kept.until_ && !isStale(*kept.stream_)) {
+            co_return kept.stream_;
         }
     }
     const auto stream = std::make_shared<beast::tcp_stream>(engine_.context());
@@ -169,69 +183,117 @@
     if (problem) {
         co_return nullptr;
     }
-    stream->socket().set_option(tcp::no_delay(true), problem);
+    guardConnection(stream->socket());
     co_return stream;
 }
 
-Task<bool> BackendClient::writeRequest(BackendRequest &request, Millis remaining)
+void BackendClient::keep(const Address &backend, const StreamPtr &stream, Millis keepFor)
+{
+    if (keepFor > Millis() && kept_.size() < MaxKept && keptFor_ == backend) {
+        kept_.push_back(Kept{stream, Engine::now() + keepFor});
+    }
+}
+
+Task<> BackendClient::writeRequest(RequestPtr request, StreamPtr stream)
 {
     http::request<http::empty_body> message;
     message.version(HttpVersion);
-    message.method_string(request.head_.method_);
-    message.target(request.head_.target_);
-    setFields(message, request.head_.fields_);
-    message.set("Radishford-Deadline-Ms", std::to_string(remaining.count()));
-    message.set("traceparent", request.traceParent_);
-    const bool hasBody = !request.head_.hasLength_ || request.head_.length_ > 0;
-    const bool chunked = hasBody && !request.head_.hasLength_;
+    message.method_string(request->head_.method_);
+    message.target(request->head_.target_);
+    setFields(message, request->head_.fields_);
+    dialect_.addFields(message, request->terms_);
+    const bool hasBody = !request->head_.hasLength_ || request->head_.length_ > 0;
+    const bool chunked = hasBody && !request->head_.hasLength_;
     // chunked() removes the length, so it goes first.
     message.chunked(chunked);
-    if (hasBody && !chunked) {
-        message.content_length(request.head_.length_);
+    const bool namesLength = request->head_.hasLength_ && (hasBody || request->head_.method_ == "POST" || request->head_.method_ == "PUT");
+    if (namesLength) {
+        message.content_length(request->head_.length_);
     }
     http::request_serializer<http::empty_body> serializer(message);
     error_code problem;
-    co_await http::async_write_header(*request.stream_, serializer, asio::redirect_error(asio::use_awaitable, problem));
+    co_await http::async_write_header(*stream, serializer, asio::redirect_error(asio::use_awaitable, problem));
     while (!problem && hasBody) {
-        const std::optional<std::string> part = co_await request.body_->pop();
+        const std::optional<std::string> part = co_await request->body_->pop();
         if (!part) {
-            co_return false;
+            // Without the rest of its body the request must not look whole.
+            stream->close();
+            co_return;
         }
         if (part->empty()) {
             break;
         }
         if (chunked) {
-            co_await asio::async_write(*request.stream_, http::make_chunk(asio::buffer(*part)), asio::redirect_error(asio::use_awaitable, problem));
+            co_await asio::async_write(*stream, http::make_chunk(asio::buffer(*part)), asio::redirect_error(asio::use_awaitable, problem));
         } else {
-            co_await asio::async_write(*request.stream_, asio::buffer(*part), asio::redirect_error(asio::use_awaitable, problem));
+            co_await asio::async_write(*stream, asio::buffer(*part), asio::redirect_error(asio::use_awaitable, problem));
         }
     }
     if (chunked && !problem) {
-        co_await asio::async_write(*request.stream_, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, problem));
+        co_await asio::async_write(*stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, problem));
     }
-    co_return !problem;
+    request->written_ = !problem;
 }
 
-Task<bool> BackendClient::relayAnswer(BackendRequest &request, http::response_parser<http::buffer_body> &parser)
+Task<BackendClient::AnswerEnding> BackendClient::readAnswer(BackendRequest &request, beast::tcp_stream &stream)
 {
     beast::flat_buffer buffer;
-    error_code problem;
-    co_await http::async_read_header(*request.stream_, buffer, parser, asio::redirect_error(asio::use_awaitable, problem));
-    if (problem) {
-        co_return false;
+    AnswerEnding ending;
+    bool skipped = false;
+    for (int answers = 0; answers <= MaxStale; ++answers) {
+        AnswerParser parser;
+        parser.body_limit(boost::none);
+        parser.skip(request.head_.method_ == "HEAD");
+        error_code problem;
+        co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, problem));
+        if (problem) {
+            const bool unreadable = problem.category() == http::make_error_code(http::error::end_of_stream).category() && problem != http::error::end_of_stream
+                && problem != http::error::partial_message;
+            ending.kind_ = unreadable ? AnswerKind::Spoiled : AnswerKind::Own;
+            co_return ending;
+        }
+        ending.kind_ = dialect_.judge(parser.get(), request.head_.fields_);
+        ending.status_ = static_cast<std::uint16_t>(parser.get().result_int());
+        ending.load_ = dialect_.loadOf(parser.get());
+        ending.keepFor_ = keepTimeOf(parser.get());
+        const bool framed = !parser.need_eof();
+        if (ending.kind_ == AnswerKind::Spoiled) {
+            co_return ending;
+        }
+        const bool own = ending.kind_ == AnswerKind::Own;
+        ending.whole_ = co_await readBody(request, stream, buffer, parser, own);
+        if (ending.kind_ != AnswerKind::Stale || !ending.whole_ || !framed) {
+            // Bytes behind the answer belong to no request.
+            ending.reusable_ = framed && parser.keep_alive() && buffer.size() == 0 && !skipped;
+            ending.kind_ = ending.kind_ == AnswerKind::Stale ? AnswerKind::Spoiled : ending.kind_;
+            co_return ending;
+        }
+        skipped = true;
+    }
+    ending.kind_ = AnswerKind::Spoiled;
+    co_return ending;
+}
+
+Task<bool> BackendClient::readBody(BackendRequest &request, beast::tcp_stream &stream, beast::flat_buffer &buffer, AnswerParser &parser, bool passOn)
+{
+    if (passOn) {
+        request.answerTo_->send(headOf(parser, request.attempt_));
     }
-    request.answerTo_->send(headOf(parser, request.attempt_));
     std::string part;
     while (!parser.is_done()) {
         part.resize(ChunkBytes);
         auto &body = parser.get().body();
         body.data = part.data();
         body.size = part.size();
-        co_await http::async_read_some(*request.stream_, buffer, parser, asio::redirect_error(asio::use_awaitable, problem));
+        error_code problem;
+        co_await http::async_read_some(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, problem));
         if (problem && problem != http::error::need_buffer) {
             co_return false;
         }
         part.resize(ChunkBytes - body.size);
+        if (!passOn) {
+            continue;
+        }
         request.answerBytes_ += part.size();
         if (!part.empty()) {
             request.answerTo_->send(BodyChunk{request.attempt_, part});
--- a/src/net/backend_client.h
+++ b/src/net/backend_client.h
@@ -1,58 +1,25 @@
 // Requests to the backend server beside this daemon.
 #pragma once
 
+#include "net/body_pipe.h"
+#include "net/dialect.h"
 #include "net/engine.h"
 #include "net/frame_connection.h"
 
-#include <deque>
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace radishford {
 
-// A request's body on its way from the outbound side to the backend server.
-class BodyPipe
-{
-public:
-    explicit BodyPipe(const asio::any_io_executor &executor);
-
-    // Adds a part.
-    void push(std::string bytes);
-
-    // Ends the body; broken when it is not whole.
-    void end(bool whole);
-
-    // Waits until there is room for further parts.
-    Task<> hasRoom();
-
-    // The next part; empty at the end. Nothing when the body is broken.
-    Task<std::optional<std::string>> pop();
-
-    // Bytes added so far.
-    [[nodiscard]] std::uint64_t total() const;
-
-    // True once the whole body was added.
-    [[nodiscard]] bool isWhole() const;
-
-    // True once it is known that the body ends early.
-    [[nodiscard]] bool isBroken() const;
-
-private:
-    std::deque<std::string> parts_;
-    std::size_t waiting_ = 0;
-    std::uint64_t total_ = 0;
-    bool ended_ = false;
-    bool whole_ = false;
-    Signal changed_;
-};
-
 // One request for the backend server.
 struct BackendRequest {
     ExchangeHandle exchange_;
     std::uint64_t attempt_ = 0;
     RequestHead head_;
-    std::string traceParent_;
+    BackendTerms terms_;
+    // When the backend server must have answered.
+    Millis deadline_;
     std::shared_ptr<BodyPipe> body_;
     // Where the answer goes.
     std::shared_ptr<FrameConnection> answerTo_;
@@ -60,6 +27,8 @@
     std::uint64_t answerBytes_ = 0;
     // True once the request was cancelled.
     bool cancelled_ = false;
+    // True once the whole request was written.
+    bool written_ = false;
     // Connection in use, to be closed on cancellation.
     std::shared_ptr<beast::tcp_stream> stream_;
 };
@@ -68,31 +37,67 @@
 class BackendClient
 {
 public:
-    explicit BackendClient(Engine &engine);
+    BackendClient(Engine &engine, const BackendDialect &dialect);
 
     // Hands a request over; its end is posted as an event.
-    void start(const std::shared_ptr<BackendRequest> &request, const Address &backend, Millis remaining);
+    void start(const std::shared_ptr<BackendRequest> &request, const HandOver &effect);
 
     // Stops a request.
     static void cancel(BackendRequest &request);
 
+    // Asks for health and load; the result is posted as an event.
+    void check(const CheckBackend &effect);
+
 private:
+    using RequestPtr = std::shared_ptr<BackendRequest>;
+    using StreamPtr = std::shared_ptr<beast::tcp_stream>;
+    using AnswerParser = http::response_parser<http::buffer_body>;
+
+    // A connection that waits for the next request.
+    struct Kept {
+        StreamPtr stream_;
+        // The backend server closes it about then.
+        Millis until_;
+    };
+
+    // How an answer ended.
+    struct AnswerEnding {
+        AnswerKind kind_ = AnswerKind::Spoiled;
+        // True when the answer came whole.
+        bool whole_ = false;
+        // True when the connection can serve another request.
+        bool reusable_ = false;
+        Millis keepFor_;
+        std::uint16_t status_ = 0;
+        BackendLoad load_;
+    };
+
     // Runs one request.
-    Task<> run(std::shared_ptr<BackendRequest> request, Address backend, Millis remaining);
+    Task<> run(RequestPtr request, Address backend);
+
+    // Runs one check.
+    Task<> runCheck(CheckBackend effect);
 
     // A kept or new connection; nullptr when none can be opened.
-    Task<std::shared_ptr<beast::tcp_stream>> connect(Address backend);
+    Task<StreamPtr> connect(Address backend);
+
+    // Keeps a connection for the next request.
+    void keep(const Address &backend, const StreamPtr &stream, Millis keepFor);
+
+    // Writes the request, and marks it as written if that succeeds.
+    Task<> writeRequest(RequestPtr request, StreamPtr stream);
 
-    // Writes the request. False when the connection broke.
-    static Task<bool> writeRequest(BackendRequest &request, Millis remaining);
+    // Reads answers until the request's own is over, and passes that one on.
+    Task<AnswerEnding> readAnswer(BackendRequest &request, beast::tcp_stream &stream);
 
-    // Relays the answer. False when it is not whole.
-    static Task<bool> relayAnswer(BackendRequest &request, http::response_parser<http::buffer_body> &parser);
+    // Reads the rest of an answer. Passes it on if it is the request's own. False when it ended early.
+    static Task<bool> readBody(BackendRequest &request, beast::tcp_stream &stream, beast::flat_buffer &buffer, AnswerParser &parser, bool passOn);
 
     Engine &engine_;
+    const BackendDialect &dialect_;
     // Address of kept connections.
     Address keptFor_;
-    std::vector<std::shared_ptr<beast::tcp_stream>> kept_;
+    std::vector<Kept> kept_;
 };
 
 } // namespace radishford
--- a/src/net/caller_request.cpp
+++ b/src/net/caller_request.cpp
@@ -1,7 +1,6 @@
 // One caller's request while it is being served.
 #include "net/caller_request.h"
 
-#include "net/failure_response.h"
 #include "net/http_fields.h"
 
 #include <algorithm>
@@ -26,26 +25,46 @@
 {
 }
 
-Task<ResultCode> CallerRequest::bufferBody(std::uint64_t limit)
+Task<ResultCode> CallerRequest::bufferBody(std::uint64_t limit, std::uint64_t mostHeld)
 {
     const auto length = parser_.content_length();
     if (length && *length > limit) {
         co_return ResultCode::BodyTooLarge;
     }
-    while (!parser_.is_done()) {
+    while (!parser_.is_done() && body_.size() <= mostHeld) {
         const std::optional<std::string> part = co_await readFromStream();
         if (!part) {
-            co_return ResultCode::BodyBroken;
+            co_return bytesLeft_ == 0 ? ResultCode::BodyTooLarge : ResultCode::BodyBroken;
         }
         body_ += *part;
         if (body_.size() > limit) {
             co_return ResultCode::BodyTooLarge;
         }
     }
-    buffered_ = true;
+    buffered_ = parser_.is_done();
     co_return ResultCode::Ok;
 }
 
+void CallerRequest::setFields(std::vector<HeaderField> fields)
+{
+    fields_ = std::move(fields);
+}
+
+void CallerRequest::closeAfterwards()
+{
+    closeAfterwards_ = true;
+}
+
+bool CallerRequest::mayKeepAlive() const
+{
+    return parser_.is_done() && parser_.keep_alive() && !closeAfterwards_;
+}
+
+Millis CallerRequest::retryAfter() const
+{
+    return retryAfter_;
+}
+
 void CallerRequest::limitStream(std::uint64_t limit)
 {
     bytesLeft_ = limit;
@@ -53,12 +72,12 @@
 
 Task<std::optional<std::string>> CallerRequest::readChunk()
 {
-    if (!buffered_) {
-        co_return co_await readFromStream();
+    if (buffered_ || cursor_ < body_.size()) {
+        std::string part = body_.substr(cursor_, ChunkBytes);
+        cursor_ += part.size();
+        co_return part;
     }
-    std::string part = body_.substr(cursor_, ChunkBytes);
-    cursor_ += part.size();
-    co_return part;
+    co_return co_await readFromStream();
 }
 
 void CallerRequest::rewind()
@@ -89,6 +108,7 @@
     }
     part.resize(ChunkBytes - body.size);
     if (part.size() > bytesLeft_) {
+        bytesLeft_ = 0;
         co_return std::nullopt;
     }
     bytesLeft_ -= part.size();
@@ -117,7 +137,7 @@
     }
     const Pending pending(*this);
     http::response<http::empty_body> response(static_cast<http::status>(head.status_), HttpVersion);
-    setFields(response, head.fields_);
+    radishford::setFields(response, head.fields_);
     const bool hasBody = parser_.get().method() != http::verb::head && head.status_ != 204 && head.status_ != 304;
     chunked_ = hasBody && !head.hasLength_;
     // chunked() removes the length, so it goes first.
@@ -125,7 +145,7 @@
     if (head.hasLength_ && head.status_ != 204) {
         response.content_length(head.length_);
     }
-    response.keep_alive(parser_.keep_alive());
+    response.keep_alive(mayKeepAlive());
     http::response_serializer<http::empty_body> serializer(response);
     error_code problem;
     stream_.expires_after(StallLimit);
@@ -166,18 +186,20 @@
     co_return !problem;
 }
 
-Task<bool> CallerRequest::writeFailure(ResultCode code, const std::string &trace)
+Task<bool> CallerRequest::writeResponse(TextResponse response)
 {
-    const bool keepAlive = parser_.is_done() && parser_.keep_alive();
-    const http::response<http::string_body> response = failureResponse(code, trace, keepAlive);
+    response.keep_alive(mayKeepAlive());
+    response.prepare_payload();
+    const bool keepAlive = response.keep_alive();
     error_code problem;
     stream_.expires_after(StallLimit);
     co_await http::async_write(stream_, response, asio::redirect_error(asio::use_awaitable, problem));
     co_return !problem && keepAlive;
 }
 
-void CallerRequest::finish(std::optional<ResultCode> failure, bool cut)
+void CallerRequest::finish(std::optional<ResultCode> failure, bool cut, Millis retryAfter)
 {
+    retryAfter_ = retryAfter;
     finished_ = true;
     failure_ = failure;
     cut_ = cut_ || cut;
@@ -206,7 +228,7 @@
     RequestHead head;
     head.method_ = std::string(message.method_string());
     head.target_ = std::string(message.target());
-    head.fields_ = forwardedFields(message);
+    head.fields_ = fields_;
     const auto length = parser_.content_length();
     head.hasLength_ = buffered_ || length.has_value();
     head.length_ = buffered_ ? body_.size() : length.value_or(0);
@@ -235,7 +257,7 @@
 
 bool CallerRequest::mustClose() const
 {
-    return cut_ || !parser_.is_done();
+    return cut_ || !mayKeepAlive();
 }
 
 bool CallerRequest::isFinished() const
--- a/src/net/caller_request.h
+++ b/src/net/caller_request.h
@@ -3,6 +3,7 @@
 
 #include "call/call_type.h"
 #include "core/result_code.h"
+#include "net/http_exchange.h"
 #include "net/net.h"
 #include "net/signal.h"
 #include "wire/frame_type.h"
@@ -26,8 +27,14 @@
     // Works on the caller's connection, whose header the parser has read.
     CallerRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, Parser &parser, CallHandle handle);
 
-    // Reads the body into memory. Returns Ok, BodyTooLarge or BodyBroken.
-    Task<ResultCode> bufferBody(std::uint64_t limit);
+    // Reads the body into memory, or as much of it as may be held; the rest is streamed. Returns Ok, BodyTooLarge or BodyBroken.
+    Task<ResultCode> bufferBody(std::uint64_t limit, std::uint64_t mostHeld);
+
+    // Sets the header fields for the backend server.
+    void setFields(std::vector<HeaderField> fields);
+
+    // Closes the connection after the answer.
+    void closeAfterwards();
 
     // Sets the most bytes that a streamed body may have.
     void limitStream(std::uint64_t limit);
@@ -48,7 +55,7 @@
     Task<bool> writeEnd();
 
     // Ends the request: with an answer of our own if a code is given, by closing the connection if it must be cut.
-    void finish(std::optional<ResultCode> failure, bool cut);
+    void finish(std::optional<ResultCode> failure, bool cut, Millis retryAfter = Millis());
 
     // Waits until finish() was called and no read or write of the connection is pending.
     Task<> finished();
@@ -70,8 +77,14 @@
     // The failure to report, if any.
     [[nodiscard]] const std::optional<ResultCode> &failure() const;
 
-    // Answers the caller with a result of our own.
-    Task<bool> writeFailure(ResultCode code, const std::string &trace);
+    // Answers the caller with a result of our own. False when the connection cannot serve another request.
+    Task<bool> writeResponse(TextResponse response);
+
+    // True when the connection may serve another request after this one.
+    [[nodiscard]] bool mayKeepAlive() const;
+
+    // When the caller may come again, if the request failed.
+    [[nodiscard]] Millis retryAfter() const;
 
     // True when the connection cannot serve another request.
     [[nodiscard]] bool mustClose() const;
@@ -125,6 +138,9 @@
     // Reads and writes that have not ended.
     int pending_ = 0;
     bool cut_ = false;
+    bool closeAfterwards_ = false;
+    Millis retryAfter_;
+    std::vector<HeaderField> fields_;
     std::optional<ResultCode> failure_;
     Signal done_;
 };
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -1,21 +1,23 @@
 // Takes calls over HTTP from callers.
 #include "net/caller_server.h"
 
-#include "call/call_func.h"
 #include "core/hash.h"
 #include "net/accept_loop.h"
+#include "net/socket_options.h"
 #include "net/trace_context.h"
 
-#include <charconv>
+#include <algorithm>
 #include <random>
 
 namespace radishford {
 
 namespace {
 
-// A caller must send the next request's whole header within this time, or an idle connection is closed.
-constexpr std::chrono::seconds HeaderTimeout(30);
-// Bodies up to this size are read before the call starts, follow the offer, and can be sent again.
+// Read at first from a connection that waits for a request.
+constexpr std::size_t FirstBytes = 4096;
+// Bodies that may be streamed are held up to this size, so that they can be sent again.
+constexpr std::uint64_t HeldBytes = std::uint64_t{512} << 10U;
+// Bodies up to this size follow the offer.
 constexpr std::uint64_t RideBytes = std::uint64_t{64} << 10U;
 
 // A random number for trace ids.
@@ -25,32 +27,6 @@
     return engine();
 }
 
-// The service a request is for: its own header field, or the first label of the host.
-ServiceName serviceOf(const CallerRequest::Parser &parser)
-{
-    const auto own = parser.get()["Radishford-Service"];
-    if (!own.empty()) {
-        return ServiceName(std::string(own));
-    }
-    const std::string host(parser.get()[http::field::host]);
-    return ServiceName(host.substr(0, host.find_first_of(".:")));
-}
-
-// The path of a target, without its query.
-std::string pathOf(const std::string &target)
-{
-    return target.substr(0, target.find('?'));
-}
-
-// The time a caller gives, or zero.
-Millis timeoutOf(const CallerRequest::Parser &parser)
-{
-    const std::string field(parser.get()["Radishford-Deadline-Ms"]);
-    std::int64_t milliseconds = 0;
-    std::from_chars(field.data(), field.data() + field.size(), milliseconds);
-    return Millis(std::max<std::int64_t>(0, milliseconds));
-}
-
 // Hash of a request's method, target and body; of a streamed body, its length.
 Fingerprint fingerprintOf(const RequestHead &head, const CallerRequest &request)
 {
@@ -59,28 +35,25 @@
     return Fingerprint(hashBytes(request.isBuffered() ? std::string_view(request.bufferedBody()) : std::string_view(length), line));
 }
 
-// Builds the event of a call.
-CallArrived makeEvent(const CallerRequest &request, const CallerRequest::Parser &parser, const ServiceName &service, const ClassName &className)
+// Adds to the event of a call what is known once its body is here.
+void completeEvent(CallArrived &event, const CallerRequest &request, std::string_view traceParent)
 {
-    CallArrived event;
+    const RequestHead head = request.head();
     event.handle_ = request.handle();
-    event.service_ = service;
-    event.class_ = className;
     event.replayable_ = request.isBuffered();
     event.mayRide_ = request.isBuffered() && request.bufferedBody().size() <= RideBytes;
-    event.fingerprint_ = fingerprintOf(request.head(), request);
-    event.key_ = std::string(parser.get()["Idempotency-Key"]);
-    event.timeout_ = timeoutOf(parser);
-    const TraceContext context = readTraceParent(parser.get()["traceparent"], drawBits(), drawBits());
+    event.bodySize_ = Bytes(static_cast<std::int64_t>(head.length_));
+    event.fingerprint_ = fingerprintOf(head, request);
+    const TraceContext context = readTraceParent(traceParent, drawBits(), drawBits());
     event.trace_ = context.trace_;
     event.parentSpan_ = context.parent_;
-    return event;
 }
 
 } // namespace
 
-CallerServer::CallerServer(Engine &engine, const Address &address, const CallerLimits &limits)
+CallerServer::CallerServer(Engine &engine, const Address &address, const CallerLimits &limits, const CallDialect &dialect)
     : engine_(engine)
+    , dialect_(dialect)
     , acceptor_(engine.context(), toEndpoint<tcp>(address))
     , limits_(limits)
 {
@@ -102,10 +75,10 @@
     return found == requests_.end() ? nullptr : found->second;
 }
 
-void CallerServer::fail(CallHandle handle, ResultCode code)
+void CallerServer::fail(const FailCall &effect)
 {
-    if (const auto request = find(handle)) {
-        request->finish(code, false);
+    if (const auto request = find(effect.call_)) {
+        request->finish(effect.code_, false, effect.retryAfter_);
     }
 }
 
@@ -119,65 +92,88 @@
 Task<> CallerServer::serve(tcp::socket socket)
 {
     ++connections_;
-    error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
+    guardConnection(socket);
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
     while (co_await serveOne(stream, buffer)) { }
+    error_code ignored;
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     --connections_;
 }
 
+Task<error_code> CallerServer::readHeader(beast::tcp_stream &stream, beast::flat_buffer &buffer, CallerRequest::Parser &parser)
+{
+    const CallerBounds &bounds = engine_.world().routes_.bounds_;
+    error_code problem;
+    if (buffer.size() == 0) {
+        stream.expires_after(toChrono(bounds.idleTimeout_));
+        const std::size_t got = co_await stream.async_read_some(buffer.prepare(FirstBytes), asio::redirect_error(asio::use_awaitable, problem));
+        buffer.commit(got);
+    }
+    if (!problem) {
+        stream.expires_after(toChrono(bounds.headerTimeout_));
+        co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, problem));
+    }
+    stream.expires_never();
+    co_return problem;
+}
+
 Task<bool> CallerServer::serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer)
 {
     CallerRequest::Parser parser;
-    parser.header_limit(limits_.maxHeaderBytes_);
+    const auto declared = static_cast<std::uint32_t>(engine_.world().routes_.bounds_.maxHeader_.value());
+    parser.header_limit(std::min(limits_.maxHeaderBytes_, declared));
     parser.body_limit(boost::none);
-    stream.expires_after(HeaderTimeout);
-    error_code problem;
-    co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, problem));
-    stream.expires_never();
+    const error_code problem = co_await readHeader(stream, buffer, parser);
     const auto request = std::make_shared<CallerRequest>(stream, buffer, parser, CallHandle(++lastHandle_));
     if (problem) {
-        const bool readable = problem != http::error::end_of_stream && problem != beast::error::timeout && parser.got_some();
-        if (readable) {
+        if (problem != http::error::end_of_stream && problem != beast::error::timeout && parser.got_some()) {
             ++engine_.counters().badRequests_;
-            co_await request->writeFailure(ResultCode::BadRequest, "");
+            request->closeAfterwards();
+            co_await answerFailure(request, ResultCode::BadRequest);
         }
         co_return false;
     }
     co_return co_await serveCall(request, parser);
 }
 
+Task<bool> CallerServer::answerFailure(std::shared_ptr<CallerRequest> request, ResultCode code, const std::string &trace)
+{
+    CallFailure failure;
+    failure.code_ = code;
+    failure.trace_ = trace;
+    failure.retryAfter_ = request->retryAfter();
+    failure.keepAlive_ = request->mayKeepAlive();
+    const TextResponse response = dialect_.failure(failure);
+    co_return co_await request->writeResponse(response);
+}
+
 Task<bool> CallerServer::serveCall(const std::shared_ptr<CallerRequest> &request, CallerRequest::Parser &parser)
 {
-    const ServiceName service = serviceOf(parser);
-    const RequestHead head = request->head();
-    const bool hasKey = !parser.get()["Idempotency-Key"].empty();
-    const Classification found = classify(engine_.world(), service, head.method_, pathOf(head.target_), hasKey);
-    if (found.code_ != ResultCode::Ok) {
-        co_return co_await request->writeFailure(found.code_, "");
+    if (isLeaving(engine_.world())) {
+        request->closeAfterwards();
+    }
+    CallIntake intake = dialect_.readCall(engine_.world(), parser.get());
+    if (intake.code_ != ResultCode::Ok) {
+        co_return co_await answerFailure(request, intake.code_);
     }
-    const RequestClass requestClass = *found.class_;
-    const auto limit = static_cast<std::uint64_t>(requestClass.maxBody_.value());
+    request->setFields(std::move(intake.fields_));
+    const auto limit = static_cast<std::uint64_t>(intake.maxBody_.value());
     request->limitStream(limit);
     const auto length = parser.content_length();
     if (length && *length > limit) {
-        co_return co_await request->writeFailure(ResultCode::BodyTooLarge, "");
+        co_return co_await answerFailure(request, ResultCode::BodyTooLarge);
     }
-    const bool small = length.value_or(0) <= RideBytes && !parser.chunked();
-    if (!requestClass.streamed_ || small) {
-        const ResultCode code = co_await request->bufferBody(limit);
-        if (code != ResultCode::Ok) {
-            co_return co_await request->writeFailure(code, "");
-        }
+    const ResultCode body = co_await request->bufferBody(limit, intake.streamed_ ? HeldBytes : limit);
+    if (body != ResultCode::Ok) {
+        co_return co_await answerFailure(request, body);
     }
-    const CallArrived event = makeEvent(*request, parser, service, requestClass.name_);
-    co_await runCall(request, event, request->stream());
+    completeEvent(intake.event_, *request, parser.get()["traceparent"]);
+    co_await runCall(request, intake.event_, request->stream());
     if (request->failure()) {
-        co_return co_await request->writeFailure(*request->failure(), event.trace_.value());
+        co_return co_await answerFailure(request, *request->failure(), intake.event_.trace_.value());
     }
-    co_return !request->mustClose() && parser.keep_alive();
+    co_return !request->mustClose();
 }
 
 Task<> CallerServer::runCall(const std::shared_ptr<CallerRequest> &request, const CallArrived &event, beast::tcp_stream &stream)
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "net/caller_request.h"
+#include "net/dialect.h"
 #include "net/engine.h"
 
 #include <cstddef>
@@ -21,7 +22,7 @@
 {
 public:
     // Listens at the address. Throws boost::system::system_error when it is taken.
-    CallerServer(Engine &engine, const Address &address, const CallerLimits &limits);
+    CallerServer(Engine &engine, const Address &address, const CallerLimits &limits, const CallDialect &dialect);
 
     // Starts to accept.
     void start();
@@ -30,7 +31,7 @@
     std::shared_ptr<CallerRequest> find(CallHandle handle);
 
     // Answers a call with a result of our own.
-    void fail(CallHandle handle, ResultCode code);
+    void fail(const FailCall &effect);
 
     // Cuts a call's connection.
     void cut(CallHandle handle);
@@ -42,6 +43,12 @@
     // Reads and serves one request. False when the connection must end.
     Task<bool> serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer);
 
+    // Waits for the first byte of a request, then reads its header.
+    Task<error_code> readHeader(beast::tcp_stream &stream, beast::flat_buffer &buffer, CallerRequest::Parser &parser);
+
+    // Answers with a result of our own.
+    Task<bool> answerFailure(std::shared_ptr<CallerRequest> request, ResultCode code, const std::string &trace = {});
+
     // Serves a request whose header was read.
     Task<bool> serveCall(const std::shared_ptr<CallerRequest> &request, CallerRequest::Parser &parser);
 
@@ -52,6 +59,7 @@
     Task<> watchCaller(std::shared_ptr<CallerRequest> request, beast::tcp_stream &stream, std::shared_ptr<bool> done);
 
     Engine &engine_;
+    const CallDialect &dialect_;
     tcp::acceptor acceptor_;
     CallerLimits limits_;
     std::size_t connections_ = 0;
--- a/src/net/engine.cpp
+++ b/src/net/engine.cpp
@@ -2,6 +2,7 @@
 #include "net/engine.h"
 
 #include <algorithm>
+#include <ctime>
 #include <utility>
 
 namespace radishford {
@@ -43,8 +44,17 @@
 
 Millis Engine::now()
 {
-    const auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-    return Millis::fromMicros(std::chrono::duration_cast<std::chrono::microseconds>(sinceStart).count());
+    // Unlike the steady clock, boot time goes on while the instance is suspended, so that deadlines and leases end in time.
+    constexpr std::int64_t MicrosPerSecond = 1000000;
+    constexpr std::int64_t NanosPerMicro = 1000;
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return Millis::fromMicros(time.tv_sec * MicrosPerSecond + time.tv_nsec / NanosPerMicro);
+}
+
+void Engine::log(const std::string &text)
+{
+    handler_.apply(LogChange{text});
 }
 
 asio::io_context &Engine::context()
--- a/src/net/engine.h
+++ b/src/net/engine.h
@@ -59,6 +59,9 @@
     // Time since the process's clock started.
     [[nodiscard]] static Millis now();
 
+    // Writes a log line about something that only the front end sees.
+    void log(const std::string &text);
+
     asio::io_context &context();
 
 private:
--- a/src/net/exchange_client.cpp
+++ b/src/net/exchange_client.cpp
@@ -90,6 +90,10 @@
     if (!exchange->connection_) {
         return;
     }
+    if (!exchange->replied_) {
+        // The peer is silent; its idle connections may be so too.
+        closeIdle(exchange->peer_);
+    }
     if (!exchange->withdrawn_) {
         exchange->connection_->close();
         return;
@@ -102,6 +106,18 @@
     });
 }
 
+void ExchangeClient::closeIdle(const Address &peer)
+{
+    const auto found = idle_.find(peer);
+    if (found == idle_.end()) {
+        return;
+    }
+    for (const auto &connection : found->second) {
+        connection->close();
+    }
+    idle_.erase(found);
+}
+
 void ExchangeClient::pullTickets(const SendTicketPull &effect)
 {
     asio::co_spawn(engine_.context(), runPull(effect), asio::detached);
@@ -117,6 +133,7 @@
     const auto exchange = std::make_shared<OutboundExchange>();
     exchange->attempt_ = effect.attempt_;
     exchange->call_ = effect.call_;
+    exchange->peer_ = effect.peer_;
     exchange->bodyRides_ = effect.offer_.bodyRides_;
     exchange->isRetry_ = effect.purpose_ == Purpose::Retry;
     exchanges_[effect.attempt_] = exchange;
@@ -151,10 +168,9 @@
 
 Task<std::shared_ptr<FrameConnection>> ExchangeClient::connect(Address peer)
 {
-    auto &idle = idle_[peer];
-    while (!idle.empty()) {
-        const auto connection = idle.back();
-        idle.pop_back();
+    while (!idle_[peer].empty()) {
+        const auto connection = idle_[peer].back();
+        idle_[peer].pop_back();
         if (connection->isOpen() && !connection->isStale()) {
             co_return connection;
         }
@@ -198,6 +214,7 @@
         }
         // Frames of an earlier exchange on this connection are left over and belong to nobody.
         if (attemptOf(*frame) == exchange->attempt_.packed()) {
+            exchange->replied_ = true;
             ended = co_await take(exchange, std::move(*frame));
         }
     }
@@ -264,8 +281,13 @@
         exchange->connection_->close();
         co_return false;
     }
-    if (!exchange->relaying_ && !co_await beginRelay(exchange)) {
-        co_return true;
+    if (!exchange->relaying_) {
+        // The whole answer is here, so its length is known.
+        exchange->answerHead_.hasLength_ = true;
+        exchange->answerHead_.length_ = exchange->answerBytes_;
+        if (!co_await beginRelay(exchange)) {
+            co_return true;
+        }
     }
     const auto request = callers_.find(exchange->call_);
     if (request) {
@@ -286,6 +308,9 @@
         co_return false;
     }
     exchange->relaying_ = true;
+    if (isLeaving(engine_.world())) {
+        request->closeAfterwards();
+    }
     const std::string held = std::exchange(exchange->answerBody_, std::string());
     const bool written = co_await request->writeHead(exchange->answerHead_) && co_await request->writeChunk(held);
     if (!written) {
--- a/src/net/exchange_client.h
+++ b/src/net/exchange_client.h
@@ -15,6 +15,9 @@
 struct OutboundExchange {
     AttemptId attempt_;
     CallHandle call_;
+    Address peer_;
+    // True once the peer has answered anything.
+    bool replied_ = false;
     std::shared_ptr<FrameConnection> connection_;
     bool bodyRides_ = false;
     bool isRetry_ = false;
@@ -73,6 +76,9 @@
     // Puts a connection back for the next exchange.
     void release(const Address &peer, const std::shared_ptr<FrameConnection> &connection);
 
+    // Closes idle connections to a peer.
+    void closeIdle(const Address &peer);
+
     // Reads frames until the exchange has ended. True when the connection can be used again.
     Task<bool> follow(ExchangePtr exchange);
 
--- a/src/net/exchange_server.cpp
+++ b/src/net/exchange_server.cpp
@@ -32,11 +32,11 @@
 
 } // namespace
 
-ExchangeServer::ExchangeServer(Engine &engine, const Address &address, const ExchangeLimits &limits)
+ExchangeServer::ExchangeServer(Engine &engine, const Address &address, const ExchangeLimits &limits, const BackendDialect &dialect)
     : engine_(engine)
     , acceptor_(engine.context(), toEndpoint<tcp>(address))
     , limits_(limits)
-    , backend_(engine)
+    , backend_(engine, dialect)
 {
 }
 
@@ -83,7 +83,7 @@
 {
     const ExchangePtr exchange = find(effect.exchange_);
     if (exchange) {
-        backend_.start(exchange->request_, effect.backend_, effect.remaining_);
+        backend_.start(exchange->request_, effect);
     }
 }
 
@@ -105,6 +105,11 @@
     }
 }
 
+void ExchangeServer::check(const CheckBackend &effect)
+{
+    backend_.check(effect);
+}
+
 void ExchangeServer::cancel(const CancelBackend &effect)
 {
     const ExchangePtr exchange = find(effect.exchange_);
@@ -195,7 +200,7 @@
     exchange->request_ = std::make_shared<BackendRequest>();
     exchange->request_->exchange_ = exchange->handle_;
     exchange->request_->attempt_ = offer.attempt_;
-    exchange->request_->traceParent_ = writeTraceParent(offer.trace_, offer.parentSpan_);
+    exchange->request_->terms_.traceParent_ = writeTraceParent(offer.trace_, offer.parentSpan_);
     exchange->request_->body_ = std::make_shared<BodyPipe>(acceptor_.get_executor());
     exchange->request_->answerTo_ = connection;
     exchanges_[exchange->handle_] = exchange;
--- a/src/net/exchange_server.h
+++ b/src/net/exchange_server.h
@@ -36,7 +36,7 @@
 class ExchangeServer
 {
 public:
-    ExchangeServer(Engine &engine, const Address &address, const ExchangeLimits &limits);
+    ExchangeServer(Engine &engine, const Address &address, const ExchangeLimits &limits, const BackendDialect &dialect);
 
     // Starts to accept.
     void start();
@@ -56,6 +56,9 @@
     // Ends an answer.
     void end(const EndExchange &effect);
 
+    // Asks the backend server for its health and load.
+    void check(const CheckBackend &effect);
+
     // Stops a request at the backend server.
     void cancel(const CancelBackend &effect);
 
--- a/src/net/frame_connection.cpp
+++ b/src/net/frame_connection.cpp
@@ -1,6 +1,8 @@
 // A TCP connection that carries frames between daemons.
 #include "net/frame_connection.h"
 
+#include "net/socket_options.h"
+
 #include <utility>
 
 namespace radishford {
@@ -18,8 +20,7 @@
     : socket_(std::move(socket))
     , drained_(socket_.get_executor())
 {
-    error_code ignored;
-    socket_.set_option(tcp::no_delay(true), ignored);
+    guardConnection(socket_);
 }
 
 void FrameConnection::send(const Frame &frame)
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -4,6 +4,7 @@
 #include "core/result_code.h"
 #include "net/accept_loop.h"
 #include "net/failure_response.h"
+#include "net/socket_options.h"
 
 namespace radishford {
 
@@ -28,6 +29,7 @@
     if (problem) {
         co_return std::nullopt;
     }
+    guardConnection(stream.socket());
     request.prepare_payload();
     co_await http::async_write(stream, request, asio::redirect_error(asio::use_awaitable, problem));
     if (problem) {
--- a/src/net/http_fields.h
+++ b/src/net/http_fields.h
@@ -8,12 +8,17 @@
 
 namespace radishford {
 
-// Fields of a message that are passed on to the next hop.
-template<typename Message>
-std::vector<HeaderField> forwardedFields(const Message &message)
+// Fields of a message that are passed on to the next hop: all but those that concern one connection, by their name or because the
+// message says so.
+template<typename Header>
+std::vector<HeaderField> forwardedFields(const Header &header)
 {
     std::vector<HeaderField> fields;
-    for (const auto &field : message.base()) {
+    http::token_list ofConnection{header[http::field::connection]};
+    for (const auto &field : header) {
+        if (ofConnection.exists(field.name_string())) {
+            continue;
+        }
         switch (field.name()) {
         case http::field::connection:
         case http::field::keep_alive:
--- /dev/null
+++ b/src/net/own_dialect.cpp
@@ -0,0 +1,126 @@
+// The product's own interface: calls by service and request class, announcements in JSON, the store's table transactions.
+#include "net/dialect.h"
+
+#include "call/call_func.h"
+#include "core/error.h"
+#include "net/failure_response.h"
+#include "net/http_fields.h"
+#include "wire/announcement_json.h"
+#include "wire/store_json.h"
+
+#include <charconv>
+
+namespace radishford {
+
+namespace {
+
+// The service a request is for: its own header field, or the first label of the host.
+ServiceName serviceOf(const CallerHeader &header)
+{
+    const auto own = header["Radishford-Service"];
+    if (!own.empty()) {
+        return ServiceName(std::string(own));
+    }
+    const std::string host(header[http::field::host]);
+    return ServiceName(host.substr(0, host.find_first_of(".:")));
+}
+
+// The time a caller gives, or zero.
+Millis timeoutOf(const CallerHeader &header)
+{
+    const std::string field(header["Radishford-Deadline-Ms"]);
+    std::int64_t milliseconds = 0;
+    std::from_chars(field.data(), field.data() + field.size(), milliseconds);
+    return Millis(std::max<std::int64_t>(0, milliseconds));
+}
+
+// Speaks with callers by service and request class.
+class OwnCallDialect : public CallDialect
+{
+public:
+    [[nodiscard]] CallIntake readCall(const World &world, const CallerHeader &header) const override
+    {
+        CallIntake intake;
+        CallArrived &event = intake.event_;
+        event.service_ = serviceOf(header);
+        event.key_ = std::string(header["Idempotency-Key"]);
+        event.timeout_ = timeoutOf(header);
+        const std::string target(header.target());
+        const std::string path = target.substr(0, target.find('?'));
+        const Classification found = classify(world, event.service_, std::string(header.method_string()), path, !event.key_.empty());
+        intake.code_ = found.code_;
+        if (found.class_ != nullptr) {
+            event.class_ = found.class_->name_;
+            intake.maxBody_ = found.class_->maxBody_;
+            intake.streamed_ = found.class_->streamed_;
+        }
+        intake.fields_ = forwardedFields(header);
+        return intake;
+    }
+
+    [[nodiscard]] TextResponse failure(const CallFailure &failure) const override
+    {
+        return failureResponse(failure.code_, failure.trace_, failure.keepAlive_);
+    }
+};
+
+// Speaks with backend servers that take any call and announce themselves in JSON.
+class OwnBackendDialect : public BackendDialect
+{
+public:
+    void addFields(http::fields &fields, const BackendTerms &terms) const override
+    {
+        fields.set("Radishford-Deadline-Ms", std::to_string(terms.remaining_.count()));
+        fields.set("traceparent", terms.traceParent_);
+    }
+
+    [[nodiscard]] AnswerKind judge(const AnswerHeader & /*answer*/, const std::vector<HeaderField> & /*request*/) const override
+    {
+        return AnswerKind::Own;
+    }
+
+    [[nodiscard]] BackendLoad loadOf(const AnswerHeader & /*answer*/) const override
+    {
+        return {};
+    }
+
+    [[nodiscard]] BackendId idOf(const AnswerHeader & /*answer*/) const override
+    {
+        return {};
+    }
+
+    [[nodiscard]] Event readAnnouncement(const TextRequest &request) const override
+    {
+        if (request.method() != http::verb::post || request.target() != "/announce") {
+            throw Error(ResultCode::AdminUnknown, std::string(request.target()));
+        }
+        return announcementFromJson(request.body());
+    }
+};
+
+// Speaks with the store's table transactions.
+class OwnStoreDialect : public StoreDialect
+{
+public:
+    [[nodiscard]] TextRequest encode(const StoreOperation &operation) const override
+    {
+        return makeRequest(http::verb::post, "/table/transact", storeRequestText(operation));
+    }
+
+    [[nodiscard]] StoreAnswer decode(const StoreOperation &operation, const TextResponse &response) const override
+    {
+        return response.result() == http::status::ok ? parseStoreAnswer(operation, response.body()) : StoreAnswer{};
+    }
+};
+
+} // namespace
+
+Dialect ownDialect()
+{
+    static const OwnCallDialect Calls;
+    static const OwnBackendDialect Backend;
+    static const OwnStoreDialect Store;
+    return Dialect{Calls, Backend, Store};
+}
+
+} // namespace radishford
--- a/src/net/store_client.cpp
+++ b/src/net/store_client.cpp
@@ -3,7 +3,6 @@
 
 #include "core/error.h"
 #include "net/http_exchange.h"
-#include "wire/store_json.h"
 
 namespace radishford {
 
@@ -14,9 +13,10 @@
 
 } // namespace
 
-StoreClient::StoreClient(Engine &engine, const Address &address)
+StoreClient::StoreClient(Engine &engine, const Address &address, const StoreDialect &dialect)
     : engine_(engine)
     , address_(address)
+    , dialect_(dialect)
 {
 }
 
@@ -27,14 +27,17 @@
 
 Task<> StoreClient::run(SendStore effect)
 {
-    const TextRequest request = makeRequest(http::verb::post, "/table/transact", storeRequestText(effect.operation_));
-    const std::optional<TextResponse> response = co_await askHttp(engine_.context(), address_, request, StoreTimeout);
+    const auto *watch = std::get_if<RoutingWatch>(&effect.operation_);
+    const std::chrono::milliseconds hold(watch == nullptr ? 0 : watch->hold_.count());
+    const TextRequest request = dialect_.encode(effect.operation_);
+    const std::optional<TextResponse> response = co_await askHttp(engine_.context(), address_, request, StoreTimeout + hold);
     StoreAnswered event{effect.request_, {}};
-    if (response && response->result() == http::status::ok) {
+    if (response) {
         try {
-            event.answer_ = parseStoreAnswer(effect.operation_, response->body());
-        } catch (const Error &) {
+            event.answer_ = dialect_.decode(effect.operation_, *response);
+        } catch (const Error &problem) {
             ++engine_.counters().badMessages_;
+            engine_.log(std::string("store answer not read: ") + problem.what());
         }
     }
     engine_.post(event);
--- a/src/net/store_client.h
+++ b/src/net/store_client.h
@@ -1,6 +1,7 @@
 // The platform's table service over HTTP and JSON.
 #pragma once
 
+#include "net/dialect.h"
 #include "net/engine.h"
 
 namespace radishford {
@@ -9,7 +10,7 @@
 class StoreClient
 {
 public:
-    StoreClient(Engine &engine, const Address &address);
+    StoreClient(Engine &engine, const Address &address, const StoreDialect &dialect);
 
     // Sends a request. Its answer is posted in any case; without ok_ when none came in time.
     void send(const SendStore &effect);
@@ -20,6 +21,7 @@
 
     Engine &engine_;
     Address address_;
+    const StoreDialect &dialect_;
 };
 
 } // namespace radishford
--- a/src/store/claim_func.h
+++ b/src/store/claim_func.h
@@ -10,8 +10,8 @@
 
 struct World;
 
-// Takes any answer of the store.
-void handle(World &world, const StoreAnswered &event);
+// Takes the store's answer to a request about claims. Returns false when it is not one.
+bool takeClaimAnswer(World &world, std::uint64_t number, const StoreAnswer &answer);
 
 // Queues the claim of an admission's key; the request is handed over, or refused, once the store has answered.
 void queueClaim(World &world, AdmissionId id);
--- a/src/store/claim_system.cpp
+++ b/src/store/claim_system.cpp
@@ -2,7 +2,7 @@
 #include "call/admission_func.h"
 #include "fleet/instance_func.h"
 #include "store/claim_func.h"
-#include "ticket/ticket_func.h"
+#include "store/store_func.h"
 #include "world/world.h"
 
 #include <algorithm>
@@ -63,10 +63,8 @@
 // Sends a request to the store.
 void send(World &world, StoreOperation operation, ClaimRequest request)
 {
-    const std::uint64_t number = ++world.claims_.lastRequest_;
-    world.counters_.add(Counter::StoreRequests);
+    const std::uint64_t number = askStore(world, std::move(operation));
     world.claims_.requests_.emplace(number, std::move(request));
-    world.emit(SendStore{number, std::move(operation)});
 }
 
 // Judges the row found in place of a claim.
@@ -213,19 +211,15 @@
 
 } // namespace
 
-void handle(World &world, const StoreAnswered &event)
+bool takeClaimAnswer(World &world, std::uint64_t number, const StoreAnswer &answer)
 {
-    if (takeTicketAnswer(world, event.request_, event.answer_)) {
-        return;
-    }
-    const auto found = world.claims_.requests_.find(event.request_);
+    const auto found = world.claims_.requests_.find(number);
     if (found == world.claims_.requests_.end()) {
-        world.counters_.add(Counter::LateMessages);
-        return;
+        return false;
     }
     const ClaimRequest request = std::move(found->second);
     world.claims_.requests_.erase(found);
-    const bool whole = event.answer_.ok_ && event.answer_.claims_.size() == request.claims_.size();
+    const bool whole = answer.ok_ && answer.claims_.size() == request.claims_.size();
     if (!whole) {
         world.counters_.add(Counter::StoreFailures);
         world.claims_.closedUntil_ = world.now_ + ClosedSpan;
@@ -234,12 +228,13 @@
         } else {
             retryOrFail(world, request);
         }
-        return;
+        return true;
     }
     world.claims_.closedUntil_ = Millis();
     for (std::size_t index = 0; index < request.claims_.size() && !request.release_; ++index) {
-        judgeClaim(world, request.claims_[index], event.answer_.claims_[index]);
+        judgeClaim(world, request.claims_[index], answer.claims_[index]);
     }
+    return true;
 }
 
 void queueClaim(World &world, AdmissionId id)
--- a/src/store/claim_table.h
+++ b/src/store/claim_table.h
@@ -38,7 +38,6 @@
     // Claims of requests that were not run, to be deleted.
     std::deque<ClaimInsert> releases_;
     std::map<std::uint64_t, ClaimRequest> requests_;
-    std::uint64_t lastRequest_ = 0;
     // This daemon's part of the fleet's writes.
     TokenBucket writes_;
     // When the part was last worked out.
--- /dev/null
+++ b/src/store/store_cmd.cpp
@@ -0,0 +1,41 @@
+// Requests to the platform's store and the dispatch of its answers.
+#include "store/store_func.h"
+
+#include "fleet/directory_func.h"
+#include "store/claim_func.h"
+#include "ticket/ticket_func.h"
+#include "ticket/watch_func.h"
+#include "world/world.h"
+
+#include <algorithm>
+#include <array>
+
+namespace radishford {
+
+namespace {
+
+// Takes an answer if it is the system's own. Returns false otherwise.
+using AnswerTaker = bool (*)(World &, std::uint64_t, const StoreAnswer &);
+
+// Systems that ask the store.
+constexpr std::array<AnswerTaker, 4> Takers{takeWatchAnswer, takeDirectoryAnswer, takeTicketAnswer, takeClaimAnswer};
+
+} // namespace
+
+std::uint64_t askStore(World &world, StoreOperation operation)
+{
+    const std::uint64_t request = ++world.lastStoreRequest_;
+    world.counters_.add(Counter::StoreRequests);
+    world.emit(SendStore{request, std::move(operation)});
+    return request;
+}
+
+void handle(World &world, const StoreAnswered &event)
+{
+    const bool taken = std::any_of(Takers.begin(), Takers.end(), [&](AnswerTaker take) { return take(world, event.request_, event.answer_); });
+    if (!taken) {
+        world.counters_.add(Counter::LateMessages);
+    }
+}
+
+} // namespace radishford
--- a/src/store/store_type.h
+++ b/src/store/store_type.h
@@ -1,6 +1,8 @@
 // Requests to the platform's table service, and its answers.
 #pragma once
 
+#include "core/clock_type.h"
+#include "store/member_type.h"
 #include "ticket/ticket_type.h"
 
 #include <cstdint>
@@ -61,8 +63,29 @@
     TicketNumber number_;
 };
 
+// Reads the desired state of routing.
+struct RoutingRead {
+};
+
+// Waits for a desired state that is newer than a position in the store's history.
+struct RoutingWatch {
+    StoreRevision after_;
+    // How long the store may hold the answer back while nothing changes.
+    Millis hold_;
+};
+
+// Writes a daemon's row in the list of daemons.
+struct MemberPut {
+    MemberRow row_;
+};
+
+// Reads all rows of the list of daemons.
+struct MemberList {
+};
+
 // Any request.
-using StoreOperation = std::variant<ClaimInsertBatch, ClaimReplace, ClaimDelete, TicketInsert, TicketRead, TicketVerify>;
+using StoreOperation
+    = std::variant<ClaimInsertBatch, ClaimReplace, ClaimDelete, TicketInsert, TicketRead, TicketVerify, RoutingRead, RoutingWatch, MemberPut, MemberList>;
 
 // Row found in place of the one to be written.
 struct ClaimResult {
@@ -81,6 +104,14 @@
     std::vector<Ticket> tickets_;
     // True when a ticket was inserted.
     bool inserted_ = false;
+    // The desired state, if there is one, or it changed.
+    std::vector<TicketObject> routing_;
+    // Position in the store's history at which the answer holds.
+    StoreRevision revision_;
+    // True when the history from the asked position on is no longer kept.
+    bool historyGone_ = false;
+    // The list of daemons.
+    std::vector<MemberRow> members_;
 };
 
 } // namespace radishford
--- a/src/table/result_codes.h
+++ b/src/table/result_codes.h
@@ -9,7 +9,7 @@
 
 // All results, ordered by number.
 // clang-format off
-inline constexpr std::array<ResultCodeInfo, 47> ResultCodeTable{{
+inline constexpr std::array<ResultCodeInfo, 52> ResultCodeTable{{
     {ResultCode::Ok, Outcome::Answered, 200, "Ok", "Done."},
     {ResultCode::UnknownService, Outcome::NotRun, 404, "UnknownService", "No ticket in force declares the service."},
     {ResultCode::NoBackend, Outcome::NotRun, 503, "NoBackend", "No backend server of the service is known to be ready."},
@@ -31,11 +31,16 @@
     {ResultCode::BackendUnreachable, Outcome::NotRun, 503, "BackendUnreachable", "No connection to the backend server could be opened."},
     {ResultCode::KeyMismatch, Outcome::NotRun, 422, "KeyMismatch", "The idempotency key was used before with another request."},
     {ResultCode::PeerUnreachable, Outcome::NotRun, 503, "PeerUnreachable", "The daemon beside the backend server could not be reached."},
+    {ResultCode::BackendRefused, Outcome::NotRun, 503, "BackendRefused", "The backend server said that it did not run the request."},
+    {ResultCode::WrongInstance, Outcome::NotRun, 503, "WrongInstance", "Another backend server has the address."},
+    {ResultCode::NoRoute, Outcome::NotRun, 404, "NoRoute", "No route of the desired state takes the request."},
+    {ResultCode::NoRoom, Outcome::NotRun, 503, "NoRoom", "No backend server can answer in time."},
     {ResultCode::AnswerLost, Outcome::Unknown, 502, "AnswerLost", "The connection broke after hand-over."},
     {ResultCode::DeadlineUnknown, Outcome::Unknown, 504, "DeadlineUnknown", "The deadline passed after hand-over."},
     {ResultCode::KeyTaken, Outcome::Unknown, 409, "KeyTaken", "The idempotency key was claimed by an earlier request."},
     {ResultCode::PeerSilent, Outcome::Unknown, 504, "PeerSilent", "A withdrawal was not confirmed."},
     {ResultCode::BackendFailed, Outcome::Unknown, 502, "BackendFailed", "The backend server broke the connection while it ran the request."},
+    {ResultCode::AnswerSpoiled, Outcome::Unknown, 502, "AnswerSpoiled", "The backend server's answer was not the request's own whole answer."},
     {ResultCode::BadAddress, Outcome::Config, 400, "BadAddress", "Not an IPv4 address and port."},
     {ResultCode::UnknownKey, Outcome::Config, 400, "UnknownKey", "A setting or ticket field that does not exist."},
     {ResultCode::WrongType, Outcome::Config, 400, "WrongType", "A field of the wrong JSON type."},
--- a/src/table/systems.h
+++ b/src/table/systems.h
@@ -4,12 +4,15 @@
 #include "call/admission_func.h"
 #include "call/backend_func.h"
 #include "call/call_func.h"
+#include "call/gate_func.h"
 #include "call/suspect_func.h"
+#include "fleet/directory_func.h"
 #include "fleet/gossip_func.h"
 #include "measure/budget_func.h"
 #include "measure/probe_func.h"
 #include "store/claim_func.h"
 #include "ticket/ticket_func.h"
+#include "ticket/watch_func.h"
 #include "world/shutdown_func.h"
 #include "world/system_func.h"
 
@@ -33,9 +36,12 @@
     SystemEntry{"receive", runReceive, nullptr},
     SystemEntry{"expire", runExpire, nullptr},
     SystemEntry{"membership", runMembership, nextMembership},
+    SystemEntry{"directory", runDirectory, nextDirectory},
     SystemEntry{"ticket", runTickets, nextTickets},
+    SystemEntry{"watch", runWatch, nextWatch},
     SystemEntry{"suspect", runSuspects, nextSuspects},
     SystemEntry{"claim", runClaims, nextClaims},
+    SystemEntry{"gate", runGate, nextGate},
     SystemEntry{"admit", runAdmit, nextAdmit},
     SystemEntry{"route", runRoute, nullptr},
     SystemEntry{"probe", runProbe, nextProbe},
--- /dev/null
+++ b/src/ticket/route_cmd.cpp
@@ -0,0 +1,61 @@
+// Index of the routes in force.
+#include "ticket/route_func.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace radishford {
+
+void indexRoutes(RouteTable &table, const RoutingSpec &spec)
+{
+    RouteTable fresh;
+    for (const Route &route : spec.routes_) {
+        fresh.byHost_[route.host_].push_back(route);
+    }
+    for (auto &[host, routes] : fresh.byHost_) {
+        const auto longer = [](const Route &first, const Route &second) { return first.pathPrefix_.size() > second.pathPrefix_.size(); };
+        std::stable_sort(routes.begin(), routes.end(), longer);
+    }
+    for (const RoutedService &service : spec.services_) {
+        fresh.services_[service.name_] = service;
+    }
+    fresh.bounds_ = spec.bounds_;
+    table = std::move(fresh);
+}
+
+const Route *findRoute(const RouteTable &table, std::string_view host, std::string_view path)
+{
+    const auto found = table.byHost_.find(std::string(host.substr(0, host.find(':'))));
+    if (found == table.byHost_.end()) {
+        return nullptr;
+    }
+    const std::string_view bare = path.substr(0, path.find('?'));
+    const auto &routes = found->second;
+    const auto match = std::find_if(routes.begin(), routes.end(), [&](const Route &route) { return bare.starts_with(route.pathPrefix_); });
+    return match == routes.end() ? nullptr : &*match;
+}
+
+const ServiceName &drawService(const std::vector<RoutePart> &parts, Random &random)
+{
+    const auto add = [](std::int64_t sum, const RoutePart &part) { return sum + part.weight_; };
+    const std::int64_t total = std::accumulate(parts.begin(), parts.end(), std::int64_t{0}, add);
+    if (total <= 0) {
+        return parts.front().service_;
+    }
+    auto drawn = static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(total)));
+    for (const RoutePart &part : parts) {
+        drawn -= part.weight_;
+        if (drawn < 0) {
+            return part.service_;
+        }
+    }
+    return parts.back().service_;
+}
+
+std::string healthPathOf(const RouteTable &table, const ServiceName &service)
+{
+    const auto found = table.services_.find(service);
+    return found == table.services_.end() ? std::string() : found->second.healthPath_;
+}
+
+} // namespace radishford
--- a/src/ticket/ticket_cmd.cpp
+++ b/src/ticket/ticket_cmd.cpp
@@ -2,6 +2,7 @@
 #include "call/suspect_func.h"
 #include "fleet/gossip_func.h"
 #include "measure/budget_func.h"
+#include "ticket/route_func.h"
 #include "ticket/ticket_func.h"
 #include "world/world.h"
 
@@ -43,6 +44,12 @@
     applyQuarantine(world, object.name_, spec.quarantined_);
 }
 
+// What follows from a desired state: routes are looked up by an index of it.
+void follow(World &world, const TicketObject & /*object*/, const RoutingSpec &spec)
+{
+    indexRoutes(world.routes_, spec);
+}
+
 // Looks an object up by its kind's index.
 template<typename Spec, std::size_t Index>
 const Spec *findAt(const TicketTable &tickets, const std::string &name)
--- a/src/ticket/ticket_func.h
+++ b/src/ticket/ticket_func.h
@@ -29,6 +29,9 @@
 // Brings an object into force unless a higher ticket has set it. Returns true when it did.
 bool applyObject(World &world, const TicketObject &object);
 
+// Raises the highest known ticket and logs it.
+void raiseHighest(World &world, TicketNumber number);
+
 // Objects set after a ticket, for a peer that asks.
 TicketBatch objectsAfter(const World &world, TicketNumber after);
 
--- a/src/ticket/ticket_system.cpp
+++ b/src/ticket/ticket_system.cpp
@@ -1,6 +1,6 @@
 // Spreading of tickets, joining of fresh daemons, and submission.
 #include "fleet/instance_func.h"
-#include "store/claim_func.h"
+#include "store/store_func.h"
 #include "ticket/ticket_func.h"
 #include "world/world.h"
 
@@ -21,15 +21,6 @@
 // Time between tries of a submission.
 constexpr Millis SubmitRetry{300};
 
-// Sends a request about tickets to the store.
-std::uint64_t askStore(World &world, StoreOperation operation)
-{
-    const std::uint64_t request = ++world.claims_.lastRequest_;
-    world.counters_.add(Counter::StoreRequests);
-    world.emit(SendStore{request, std::move(operation)});
-    return request;
-}
-
 // Brings all objects of a ticket into force.
 void applyTicket(World &world, const Ticket &ticket)
 {
@@ -38,17 +29,6 @@
     }
 }
 
-// Raises the highest known ticket and logs it.
-void raiseHighest(World &world, TicketNumber number)
-{
-    if (number <= world.tickets_.highest_) {
-        return;
-    }
-    world.tickets_.highest_ = number;
-    world.tickets_.heard_ = std::max(world.tickets_.heard_, number);
-    world.emit(LogChange{"ticket " + std::to_string(number.value()) + " in force"});
-}
-
 // Applies tickets that follow the highest one without a gap; a stale answer of the store changes nothing.
 void applyInOrder(World &world, const std::vector<Ticket> &tickets)
 {
@@ -150,7 +130,7 @@
 void runRead(World &world)
 {
     TicketTable &tickets = world.tickets_;
-    if (tickets.readRequest_ != 0 || world.now_ < tickets.nextReadAt_) {
+    if (world.settings_.routed_ || tickets.readRequest_ != 0 || world.now_ < tickets.nextReadAt_) {
         return;
     }
     tickets.readRequest_ = askStore(world, TicketRead{TicketNumber(tickets.highest_.value() + 1)});
@@ -175,6 +155,9 @@
 bool mayServe(const World &world)
 {
     const TicketTable &tickets = world.tickets_;
+    if (world.settings_.routed_) {
+        return tickets.verified_ && tickets.highest_ > TicketNumber();
+    }
     if (tickets.heard_ > tickets.highest_) {
         return false;
     }
@@ -185,6 +168,16 @@
 
 } // namespace
 
+void raiseHighest(World &world, TicketNumber number)
+{
+    if (number <= world.tickets_.highest_) {
+        return;
+    }
+    world.tickets_.highest_ = number;
+    world.tickets_.heard_ = std::max(world.tickets_.heard_, number);
+    world.emit(LogChange{"ticket " + std::to_string(number.value()) + " in force"});
+}
+
 void startTickets(World &world)
 {
     world.tickets_.nextReadAt_ = world.now_;
@@ -220,6 +213,8 @@
     for (const TicketObject &object : event.batch_.objects_) {
         applyObject(world, object);
     }
+    // A desired state is whole in itself: a peer that serves by it is as good as the store.
+    tickets.verified_ = tickets.verified_ || (world.settings_.routed_ && event.batch_.current_);
     if (event.batch_.after_ <= tickets.highest_) {
         raiseHighest(world, event.batch_.highest_);
     } else if (event.batch_.highest_ > tickets.heard_) {
@@ -289,7 +284,8 @@
 Millis nextTickets(const World &world)
 {
     const TicketTable &tickets = world.tickets_;
-    Millis next = tickets.readRequest_ == 0 ? tickets.nextReadAt_ : Millis::never();
+    const bool reads = !world.settings_.routed_ && tickets.readRequest_ == 0;
+    Millis next = reads ? tickets.nextReadAt_ : Millis::never();
     if (tickets.heard_ > tickets.highest_ && tickets.pullUntil_ != Millis::never()) {
         next = std::min(next, tickets.pullUntil_);
     }
--- a/src/ticket/ticket_type.h
+++ b/src/ticket/ticket_type.h
@@ -78,8 +78,61 @@
     bool quarantined_ = false;
 };
 
+// One part of a route's calls.
+struct RoutePart {
+    ServiceName service_;
+    // Share of the calls, relative to the other parts of the route.
+    std::int32_t weight_ = 1;
+};
+
+// Which calls go to which service, by host and path.
+struct Route {
+    // Name of the route; calls of it are counted under this name.
+    ClassName name_;
+    // Host that callers name, without port.
+    std::string host_;
+    // Start of the path; among matching routes the longest prefix wins.
+    std::string pathPrefix_;
+    // True when running a request twice does no harm.
+    bool idempotent_ = false;
+    // True when bodies are large and should be streamed.
+    bool streamed_ = false;
+    // Longest time that a caller is kept waiting.
+    Millis timeout_;
+    // Time within which an answer has its full value.
+    Millis latencyTarget_;
+    // Urgency; zero is the most urgent.
+    std::uint8_t priority_ = 0;
+    // Most backend servers to which one call may be sent.
+    std::int32_t maxBackends_ = 1;
+    // Where calls go; at least one.
+    std::vector<RoutePart> parts_;
+};
+
+// What the desired state says of a service.
+struct RoutedService {
+    ServiceName name_;
+    // Path that tells a backend server's health and load.
+    std::string healthPath_;
+};
+
+// What callers may send, and how long they may take.
+struct CallerBounds {
+    Bytes maxHeader_{262144};
+    Bytes maxBody_{std::int64_t{64} << 20};
+    Millis headerTimeout_{30000};
+    Millis idleTimeout_{30000};
+};
+
+// The desired state of all routing, replaced as a whole.
+struct RoutingSpec {
+    std::vector<Route> routes_;
+    std::vector<RoutedService> services_;
+    CallerBounds bounds_;
+};
+
 // State of one object.
-using ObjectSpec = std::variant<ServiceSpec, BudgetSpec, DrainSpec, QuarantineSpec>;
+using ObjectSpec = std::variant<ServiceSpec, BudgetSpec, DrainSpec, QuarantineSpec, RoutingSpec>;
 
 // The whole new state of one object, and the ticket that set it.
 struct TicketObject {
--- /dev/null
+++ b/src/ticket/watch_system.cpp
@@ -0,0 +1,95 @@
+// Follows the desired state in the platform's store: one read, then a watch from the position that it told.
+#include "fleet/gossip_func.h"
+#include "store/store_func.h"
+#include "ticket/ticket_func.h"
+#include "ticket/watch_func.h"
+#include "world/world.h"
+
+#include <algorithm>
+
+namespace radishford {
+
+namespace {
+
+// Wait after the first failure, doubled with each further one up to the longest.
+constexpr Millis FirstRetry{100};
+constexpr Millis LongestRetry{1000};
+constexpr std::int32_t MostDoublings = 4;
+// A read found no desired state: operators write the first one before traffic starts.
+constexpr Millis EmptyRetry{500};
+// Longest time that the store holds a watch without a change.
+constexpr Millis WatchHold{25000};
+
+// Puts the time of the next request after a failure, drawn so that daemons do not return together.
+void backOff(World &world)
+{
+    WatchTable &watch = world.watch_;
+    const std::int32_t doublings = std::min(watch.failures_, MostDoublings);
+    ++watch.failures_;
+    const Millis longest = std::min(LongestRetry, FirstRetry * (std::int64_t{1} << doublings));
+    const double drawn = longest.fraction() * (0.5 + world.random_.unit() / 2);
+    watch.nextAt_ = world.now_ + Millis(static_cast<std::int64_t>(drawn));
+}
+
+// Brings what the store answered into force, unless something newer already is.
+void takeRouting(World &world, const StoreAnswer &answer)
+{
+    world.tickets_.verified_ = true;
+    if (answer.routing_.empty()) {
+        return;
+    }
+    const TicketObject &object = answer.routing_.front();
+    if (applyObject(world, object)) {
+        raiseHighest(world, object.number_);
+        announceWidely(world);
+    }
+}
+
+} // namespace
+
+bool takeWatchAnswer(World &world, std::uint64_t request, const StoreAnswer &answer)
+{
+    WatchTable &watch = world.watch_;
+    if (request != watch.request_ || request == 0) {
+        return false;
+    }
+    watch.request_ = 0;
+    watch.nextAt_ = world.now_;
+    if (!answer.ok_) {
+        world.counters_.add(Counter::StoreFailures);
+        backOff(world);
+        return true;
+    }
+    watch.failures_ = 0;
+    if (answer.historyGone_) {
+        watch.known_ = false;
+        return true;
+    }
+    const bool empty = answer.routing_.empty();
+    if (!watch.watching_ && empty) {
+        watch.nextAt_ = world.now_ + EmptyRetry;
+        return true;
+    }
+    takeRouting(world, answer);
+    watch.known_ = true;
+    watch.after_ = watch.watching_ ? std::max(watch.after_, answer.revision_) : answer.revision_;
+    return true;
+}
+
+void runWatch(World &world)
+{
+    WatchTable &watch = world.watch_;
+    if (!world.settings_.routed_ || watch.request_ != 0 || world.now_ < watch.nextAt_) {
+        return;
+    }
+    watch.watching_ = watch.known_;
+    watch.request_ = watch.known_ ? askStore(world, RoutingWatch{watch.after_, WatchHold}) : askStore(world, RoutingRead{});
+}
+
+Millis nextWatch(const World &world)
+{
+    const bool idle = world.settings_.routed_ && world.watch_.request_ == 0;
+    return idle ? world.watch_.nextAt_ : Millis::never();
+}
+
+} // namespace radishford
--- a/src/wire/serialize.h
+++ b/src/wire/serialize.h
@@ -161,7 +161,7 @@
     value = Slots(raw);
 }
 
-// A report takes one byte when it is left out, and eleven when it is there.
+// A report takes one byte when it is left out, and thirteen when it is there.
 template<typename Archive>
 void fields(Archive &archive, LoadReport &value)
 {
@@ -177,6 +177,9 @@
     auto micros = static_cast<std::uint32_t>(std::clamp<std::int64_t>(value.latency_.micros(), 0, 0xFFFFFFFF));
     archive(micros);
     value.latency_ = Millis::fromMicros(micros);
+    auto slowness = static_cast<std::uint16_t>(std::clamp(value.slowness_.value(), 0, 0xFFFF));
+    archive(slowness);
+    value.slowness_ = Percent(slowness);
 }
 
 template<typename Archive>
@@ -240,13 +243,14 @@
 void fields(Archive &archive, Offer &value)
 {
     all(archive, value.attempt_, value.sender_, value.callToken_, value.service_, value.class_, value.remaining_, value.fingerprint_);
-    all(archive, value.key_, value.bodyRides_, value.wholeBodyFirst_, value.trace_, value.parentSpan_);
+    all(archive, value.key_, value.routed_, value.idempotent_, value.priority_, value.valuable_);
+    all(archive, value.bodyRides_, value.wholeBodyFirst_, value.trace_, value.parentSpan_);
 }
 
 template<typename Archive>
 void fields(Archive &archive, OfferReply &value)
 {
-    all(archive, value.attempt_, value.verdict_, value.code_);
+    all(archive, value.attempt_, value.verdict_, value.code_, value.report_);
     checkRange(value.verdict_, Verdict::Refused);
 }
 
@@ -347,6 +351,37 @@
     field(archive, value.quarantined_);
 }
 
+template<typename Archive>
+void fields(Archive &archive, RoutePart &value)
+{
+    all(archive, value.service_, value.weight_);
+}
+
+template<typename Archive>
+void fields(Archive &archive, Route &value)
+{
+    all(archive, value.name_, value.host_, value.pathPrefix_, value.idempotent_, value.streamed_, value.timeout_, value.latencyTarget_);
+    all(archive, value.priority_, value.maxBackends_, value.parts_);
+}
+
+template<typename Archive>
+void fields(Archive &archive, RoutedService &value)
+{
+    all(archive, value.name_, value.healthPath_);
+}
+
+template<typename Archive>
+void fields(Archive &archive, CallerBounds &value)
+{
+    all(archive, value.maxHeader_, value.maxBody_, value.headerTimeout_, value.idleTimeout_);
+}
+
+template<typename Archive>
+void fields(Archive &archive, RoutingSpec &value)
+{
+    all(archive, value.routes_, value.services_, value.bounds_);
+}
+
 template<typename Archive>
 void fields(Archive &archive, TicketObject &value)
 {
--- a/src/wire/store_json.cpp
+++ b/src/wire/store_json.cpp
@@ -76,6 +76,13 @@
     return {json::object{{"op", "delete"}, {"key", ticketRowKey(operation.number_)}, {"expected", ""}}};
 }
 
+// The table service in the product's own form holds tickets; a desired state and a list of daemons come from the platform's.
+template<typename Operation>
+json::array stepsOf(const Operation & /*operation*/)
+{
+    throw Error(ResultCode::UnknownKey, "operation that the table service does not take");
+}
+
 // Reads one result of a claim's step.
 ClaimResult claimResult(const json::value &value)
 {
@@ -147,6 +154,13 @@
     return answer;
 }
 
+// Operations that are never sent have no answer.
+template<typename Operation>
+StoreAnswer answerOf(const Operation & /*operation*/, const std::vector<json::value> & /*results*/)
+{
+    return StoreAnswer{};
+}
+
 } // namespace
 
 std::string storeRequestText(const StoreOperation &operation)
--- a/src/wire/ticket_json.cpp
+++ b/src/wire/ticket_json.cpp
@@ -23,6 +23,9 @@
 constexpr std::int64_t MaxBytesPerSecond = std::int64_t{1} << 40;
 constexpr std::int64_t MaxProbesPerSecond = 1000000;
 constexpr std::int64_t MaxDaemons = 1000000;
+constexpr std::int64_t MaxWeight = 1000000;
+constexpr std::int64_t MaxPriority = 255;
+constexpr std::int64_t MaxBackends = 100;
 constexpr std::int64_t WholePermille = 1000;
 constexpr std::int64_t DefaultQueue = 64;
 constexpr std::int64_t DefaultDeadlineMs = 1000;
@@ -121,6 +124,59 @@
     return QuarantineSpec{reader.flag("quarantined", true)};
 }
 
+// Reads one part of a route.
+RoutePart partFromJson(const json::value &value, const std::string &path)
+{
+    JsonReader reader(value, path);
+    RoutePart part;
+    part.service_ = ServiceName(reader.text("service"));
+    part.weight_ = static_cast<std::int32_t>(reader.number("weight", 0, MaxWeight, 1));
+    reader.finish();
+    return part;
+}
+
+// Reads one route.
+Route routeFromJson(const json::value &value, const std::string &path)
+{
+    JsonReader reader(value, path);
+    Route route;
+    route.name_ = ClassName(reader.text("name"));
+    route.host_ = reader.text("host");
+    route.pathPrefix_ = reader.text("path_prefix", "/");
+    route.idempotent_ = reader.flag("idempotent", false);
+    route.streamed_ = reader.flag("streamed", false);
+    route.timeout_ = Millis(reader.number("timeout_ms", 1, MaxDeadlineMs, DefaultDeadlineMs));
+    route.latencyTarget_ = Millis(reader.number("latency_target_ms", 0, MaxDeadlineMs, 0));
+    route.priority_ = static_cast<std::uint8_t>(reader.number("priority", 0, MaxPriority, 0));
+    route.maxBackends_ = static_cast<std::int32_t>(reader.number("max_backends", 1, MaxBackends, 1));
+    const std::vector<json::value> parts = reader.list("parts");
+    for (std::size_t index = 0; index < parts.size(); ++index) {
+        route.parts_.push_back(partFromJson(parts[index], path + ".parts[" + std::to_string(index) + "]"));
+    }
+    if (route.parts_.empty()) {
+        throw Error(ResultCode::MissingKey, path + ".parts (one or more)");
+    }
+    reader.finish();
+    return route;
+}
+
+// Reads the desired state of routing.
+ObjectSpec routingFromJson(JsonReader &reader, const std::string &path)
+{
+    RoutingSpec spec;
+    const std::vector<json::value> routes = reader.list("routes");
+    for (std::size_t index = 0; index < routes.size(); ++index) {
+        spec.routes_.push_back(routeFromJson(routes[index], path + ".routes[" + std::to_string(index) + "]"));
+    }
+    const std::vector<json::value> services = reader.list("services");
+    for (std::size_t index = 0; index < services.size(); ++index) {
+        JsonReader row(services[index], path + ".services[" + std::to_string(index) + "]");
+        spec.services_.push_back(RoutedService{ServiceName(row.text("name")), row.text("health_path", "")});
+        row.finish();
+    }
+    return spec;
+}
+
 // Writes one request class.
 json::value classToJson(const RequestClass &row)
 {
@@ -181,6 +237,35 @@
     return json::object{{"quarantined", spec.quarantined_}};
 }
 
+// Writes the desired state of routing.
+json::object specToJson(const RoutingSpec &spec)
+{
+    json::array routes;
+    for (const Route &route : spec.routes_) {
+        json::array parts;
+        for (const RoutePart &part : route.parts_) {
+            parts.push_back(json::object{{"service", part.service_.value()}, {"weight", part.weight_}});
+        }
+        routes.push_back(json::object{
+            {"name", route.name_.value()},
+            {"host", route.host_},
+            {"path_prefix", route.pathPrefix_},
+            {"idempotent", route.idempotent_},
+            {"streamed", route.streamed_},
+            {"timeout_ms", route.timeout_.count()},
+            {"latency_target_ms", route.latencyTarget_.count()},
+            {"priority", route.priority_},
+            {"max_backends", route.maxBackends_},
+            {"parts", parts},
+        });
+    }
+    json::array services;
+    for (const RoutedService &service : spec.services_) {
+        services.push_back(json::object{{"name", service.name_.value()}, {"health_path", service.healthPath_}});
+    }
+    return json::object{{"routes", routes}, {"services", services}};
+}
+
 // How one kind of object is read.
 struct KindEntry {
     const char *name_;
@@ -193,6 +278,7 @@
     {"budget", budgetFromJson},
     {"drain", drainFromJson},
     {"quarantine", quarantineFromJson},
+    {"routing", routingFromJson},
 }};
 
 // Reads an object of any kind.
@@ -202,7 +288,7 @@
     const std::string kind = reader.text("kind");
     const auto entry = std::find_if(Kinds.begin(), Kinds.end(), [&](const KindEntry &row) { return row.name_ == kind; });
     if (entry == Kinds.end()) {
-        throw Error(ResultCode::OutOfRange, path + ".kind (service, budget, drain or quarantine)");
+        throw Error(ResultCode::OutOfRange, path + ".kind (service, budget, drain, quarantine or routing)");
     }
     TicketObject object;
     object.name_ = reader.text("name");
--- a/src/world/counters.h
+++ b/src/world/counters.h
@@ -34,6 +34,7 @@
     StoreFailures, // Store requests without an answer.
     SuspectsMarked, // Requests that were running at a backend server failure.
     Quarantines, // Requests refused because of two failures.
+    BackendChecks, // Health checks of the backend server beside this daemon.
     Count, // Number of counters.
 };
 
--- a/src/world/effect_type.h
+++ b/src/world/effect_type.h
@@ -49,6 +49,8 @@
     CallHandle call_;
     ResultCode code_ = ResultCode::NoBackend;
     TraceId trace_;
+    // When the caller may come again with a fair chance; zero when nothing is known.
+    Millis retryAfter_;
 };
 
 // Close the caller's connection: its answer cannot be completed.
@@ -72,10 +74,18 @@
 struct HandOver {
     ExchangeHandle exchange_;
     Address backend_;
+    // Who must run it; empty when any may.
+    BackendId id_;
     // Time left for the answer.
     Millis remaining_;
 };
 
+// Ask the backend server for its health and load.
+struct CheckBackend {
+    Address backend_;
+    std::string path_;
+};
+
 // End an exchange without an answer.
 struct FailExchange {
     ExchangeHandle exchange_;
@@ -156,7 +166,7 @@
 // Any effect.
 using Effect
     = std::variant<StartExchange, SendGo, SendWithdraw, DropExchange, RelayAnswer, FailCall, AbortCall, ReplyOffer, ReplyWithdraw, HandOver, FailExchange,
-                   EndExchange, CancelBackend, SendDatagram, SendTicketPull, SendTicketBatch, SendStore, ReplyTicket, LogChange, EndSpan, Exit>;
+                   EndExchange, CancelBackend, CheckBackend, SendDatagram, SendTicketPull, SendTicketBatch, SendStore, ReplyTicket, LogChange, EndSpan, Exit>;
 
 // Effects in the order in which they must be carried out.
 using Outbox = std::vector<Effect>;
--- a/src/world/event_type.h
+++ b/src/world/event_type.h
@@ -20,6 +20,12 @@
     CallHandle handle_;
     ServiceName service_;
     ClassName class_;
+    // Where the route's calls go, by weight; empty when the service is given.
+    std::vector<RoutePart> parts_;
+    // Terms of the route; left alone when a ticket's request class tells them.
+    CallTerms terms_;
+    // Bytes of the body, when its length is known.
+    Bytes bodySize_;
     // True when the body is held in memory and can be sent again.
     bool replayable_ = false;
     // True when the body is small enough to follow an offer.
@@ -99,11 +105,22 @@
     ExchangeHandle exchange_;
 };
 
+// What a backend server tells of its own load; all zero when it tells nothing.
+struct BackendLoad {
+    Slots running_;
+    Slots waiting_;
+    Slots slots_;
+    // How long work takes at this moment, in parts of the usual.
+    Percent slowness_;
+};
+
 // The backend server's whole answer was relayed.
 struct BackendAnswered {
     ExchangeHandle exchange_;
     // HTTP status of the answer.
     std::uint16_t status_ = 0;
+    // Load that came with the answer.
+    BackendLoad load_;
 };
 
 // Why a backend server did not answer whole.
@@ -111,12 +128,25 @@
     Unreachable, // No connection was opened: it cannot have run.
     BodyBroken, // The request's own body broke while it was streamed.
     Broken, // The backend server closed the connection.
+    Spoiled, // The answer was not this request's own whole answer.
+    Refused, // The backend server said that it did not run the request.
+    WrongInstance, // Another backend server has the address: the request was not run.
 };
 
 // The backend server did not answer whole.
 struct BackendFailed {
     ExchangeHandle exchange_;
     BackendFault fault_ = BackendFault::Broken;
+    // Load that came with a refusal.
+    BackendLoad load_;
+};
+
+// The backend server answered a health check, or did not.
+struct BackendChecked {
+    bool ok_ = false;
+    // Who answered.
+    BackendId id_;
+    BackendLoad load_;
 };
 
 // The backend server announced itself.
@@ -127,6 +157,15 @@
     BackendState state_ = BackendState::Ready;
     // Start number of the backend server; a new one means that it starts cold.
     Incarnation incarnation_;
+    // Id of this start; empty when it names none.
+    BackendId id_;
+    // Counts announcements of one start, so that late ones are known; zero when it does not count.
+    std::uint64_t sequence_ = 0;
+};
+
+// The backend server said goodbye: it takes no new work and will end.
+struct BackendLeft {
+    BackendId id_;
 };
 
 // A datagram came.
@@ -162,8 +201,8 @@
 
 // Any event.
 using Event = std::variant<CallArrived, CallerGone, OfferReplied, WithdrawReplied, AttemptFailed, AnswerStarted, AnswerCompleted, ExchangeLost, OfferArrived,
-                           GoArrived, BodyArrived, WithdrawArrived, PeerGone, BackendAnswered, BackendFailed, BackendAnnounced, DatagramArrived,
-                           TicketBatchArrived, StoreAnswered, TicketSubmitted, ShutdownAsked>;
+                           GoArrived, BodyArrived, WithdrawArrived, PeerGone, BackendAnswered, BackendFailed, BackendChecked, BackendAnnounced, BackendLeft,
+                           DatagramArrived, TicketBatchArrived, StoreAnswered, TicketSubmitted, ShutdownAsked>;
 
 // Events in order of arrival.
 using Inbox = std::vector<Event>;
--- a/src/world/shutdown.cpp
+++ b/src/world/shutdown.cpp
@@ -10,8 +10,21 @@
 
 namespace {
 
-// Time for the fleet to hear that this daemon leaves.
-constexpr Millis LeaveNotice{500};
+// Without a call for this long, callers have gone elsewhere. They ask for readiness once a second.
+constexpr Millis QuietSpan{1200};
+
+// True when callers of a routed deployment may still come: they are only turned away by the readiness page.
+bool callersMayCome(const World &world)
+{
+    return world.settings_.routed_ && world.now_ < world.lastCallAt_ + QuietSpan;
+}
+
+// When the daemon may end at the earliest.
+Millis leaveAt(const World &world)
+{
+    const Millis least = world.leavingSince_ + world.settings_.leaveLeast_;
+    return callersMayCome(world) ? std::max(least, world.lastCallAt_ + QuietSpan) : least;
+}
 
 } // namespace
 
@@ -28,11 +41,12 @@
 
 void runShutdown(World &world)
 {
-    if (!isLeaving(world) || world.exited_ || world.now_ < world.leavingSince_ + LeaveNotice) {
+    if (!isLeaving(world) || world.exited_) {
         return;
     }
-    const bool idle = world.calls_.calls_.size() == 0 && world.admissions_.rows_.size() == 0;
-    if (!idle) {
+    const bool idle = world.calls_.calls_.size() == 0 && world.admissions_.rows_.size() == 0 && world.now_ >= leaveAt(world);
+    const bool overdue = world.settings_.leaveMost_ != Millis::never() && world.now_ >= world.leavingSince_ + world.settings_.leaveMost_;
+    if (!idle && !overdue) {
         return;
     }
     publishSelf(world, Health::Left);
@@ -47,8 +61,9 @@
     if (!isLeaving(world) || world.exited_) {
         return Millis::never();
     }
-    const Millis noticeOver = world.leavingSince_ + LeaveNotice;
-    return world.now_ < noticeOver ? noticeOver : Millis::never();
+    const Millis most = world.settings_.leaveMost_ == Millis::never() ? Millis::never() : world.leavingSince_ + world.settings_.leaveMost_;
+    const Millis least = leaveAt(world);
+    return world.now_ < least ? std::min(least, most) : most;
 }
 
 } // namespace radishford
--- a/src/world/world.h
+++ b/src/world/world.h
@@ -6,10 +6,14 @@
 #include "call/suspect_base.h"
 #include "core/random.h"
 #include "core/timer_queue.h"
+#include "fleet/directory_table.h"
 #include "fleet/fleet_table.h"
 #include "measure/measure_table.h"
+#include "measure/repeat_table.h"
 #include "store/claim_table.h"
+#include "ticket/route_table.h"
 #include "ticket/ticket_table.h"
+#include "ticket/watch_table.h"
 #include "world/counters.h"
 #include "world/effect_type.h"
 #include "world/event_type.h"
@@ -50,8 +54,16 @@
     TicketTable tickets_;
     ClaimTable claims_;
     MeasureTable measure_;
+    RepeatTable repeats_;
+    DirectoryTable directory_;
+    WatchTable watch_;
+    RouteTable routes_;
+    // Number of the latest request to the store.
+    std::uint64_t lastStoreRequest_ = 0;
     // Set once shutdown was asked; never() before.
     Millis leavingSince_ = Millis::never();
+    // When the latest call was taken.
+    Millis lastCallAt_;
     // True once Exit was emitted.
     bool exited_ = false;
 };
--- a/src/world/world_settings.h
+++ b/src/world/world_settings.h
@@ -41,6 +41,22 @@
     StrategyKind strategy_ = StrategyKind::LoadThenLatency;
     // False never runs idempotent calls at two backend servers: a baseline for measurements.
     bool hedging_ = true;
+    // True when calls are routed by a desired state in the platform's store, and daemons find each other there.
+    bool routed_ = false;
+    // Service of the backend server beside this daemon, and its address; other announcements are ignored. Only with routed_.
+    ServiceName backendService_;
+    Address backendAddress_;
+    // An announcement that is not repeated for this long lapses.
+    Millis announcementLease_{2500};
+    // Repeats that all daemons together may send to a service's backend servers within the window: a share of the calls and a fixed number.
+    Percent repeatShare_{20};
+    std::int32_t repeatSlack_ = 20;
+    Millis repeatWindow_{10000};
+    // Health checks a second of the backend server beside this daemon.
+    double checksPerSecond_ = 0;
+    // Once asked to end, a daemon serves on for the first span at least and for the second at most.
+    Millis leaveLeast_{500};
+    Millis leaveMost_ = Millis::never();
     // False lets queued requests run without Go and makes no second offers: a baseline for measurements.
     bool lateBinding_ = true;
 };
--- a/test/fake/fake_effects.cpp
+++ b/test/fake/fake_effects.cpp
@@ -6,6 +6,9 @@
 namespace {
 
 constexpr std::uint64_t PermilleScale = 1000;
+// Time of a health check, and between looks at a watch that is held back.
+constexpr Millis CheckTime = Millis::fromMicros(200);
+constexpr Millis WatchPoll{5};
 
 } // namespace
 
@@ -173,9 +176,39 @@
     }
 }
 
+void FakeFleet::apply(std::size_t index, const CheckBackend & /*effect*/)
+{
+    const FakeInstance &instance = instances_[index];
+    const int life = instance.life_;
+    BackendChecked event;
+    event.ok_ = instance.backendUp_;
+    event.id_ = backendIdOf(index);
+    event.load_ = BackendLoad{Slots(instance.running_), Slots(), Slots(instance.slots_), Percent(slownessOf(index))};
+    if (instance.backendUp_) {
+        ++checks_;
+    }
+    at(now_ + CheckTime, [this, index, life, event]() { deliver(index, life, event); });
+}
+
+// Holds a watch back until there is news or its time is over.
+void FakeFleet::answerWatch(std::size_t index, int life, const SendStore &effect, Millis until)
+{
+    const auto &watch = std::get<RoutingWatch>(effect.operation_);
+    if (!store_.hasNews(watch) && now_ < until) {
+        at(now_ + WatchPoll, [this, index, life, effect, until]() { answerWatch(index, life, effect, until); });
+        return;
+    }
+    const StoreAnswer answer = store_.run(effect.operation_);
+    at(now_ + Millis(2), [this, index, life, effect, answer]() { deliver(index, life, StoreAnswered{effect.request_, answer}); });
+}
+
 void FakeFleet::apply(std::size_t index, const SendStore &effect)
 {
     const int life = instances_[index].life_;
+    if (const auto *watch = std::get_if<RoutingWatch>(&effect.operation_)) {
+        answerWatch(index, life, effect, now_ + watch->hold_);
+        return;
+    }
     at(now_ + Millis(2), [this, index, life, effect]() {
         const StoreAnswer answer = store_.run(effect.operation_);
         const Millis wait = answer.ok_ ? Millis(2) : Millis(1000);
--- a/test/fake/fake_fleet.cpp
+++ b/test/fake/fake_fleet.cpp
@@ -34,6 +34,11 @@
         settings.places_ = places;
         settings.failureDomain_ = places[index % places.size()].failureDomain_;
         settings.seeds_ = {addressOf(0), addressOf(1), addressOf(2)};
+        settings.backendService_ = ServiceName(service_);
+        settings.backendAddress_ = Address{settings.address_.ip_, 7410};
+        if (settings.routed_) {
+            settings.seeds_.clear();
+        }
         start(index);
         announce(index);
     }
@@ -95,7 +100,7 @@
     at(now_ + downFor, [this, index]() { instances_[index].backendUp_ = true; });
     for (const auto &[key, link] : std::map(byHandle_)) {
         if (key.first == index && link && std::exchange(link->running_, false)) {
-            deliver(index, link->serverLife_, BackendFailed{link->handle_, BackendFault::Broken});
+            deliver(index, link->serverLife_, BackendFailed{link->handle_, BackendFault::Broken, {}});
         }
     }
 }
@@ -147,6 +152,8 @@
     event.mayRide_ = call.mayRide_;
     event.fingerprint_ = Fingerprint(call.fingerprint_ != 0 ? call.fingerprint_ : hashBytes(call.action_));
     event.key_ = call.key_;
+    event.terms_ = call.terms_;
+    event.bodySize_ = call.bodySize_;
     event.timeout_ = call.timeout_;
     event.trace_ = TraceId(call.token_);
     if (!instances_[index].world_ || instances_[index].exited_) {
@@ -258,11 +265,22 @@
     if (instance.backendUp_ && instance.announcing_) {
         const Address address{FirstIp + static_cast<std::uint32_t>(index), 7410};
         const Incarnation life(static_cast<std::uint64_t>(instance.backendLife_) + 1);
-        deliver(index, instance.life_, BackendAnnounced{ServiceName(service_), address, Slots(instance.slots_), instance.announces_, life});
+        BackendAnnounced event{ServiceName(service_), address, Slots(instance.slots_), instance.announces_, life, backendIdOf(index), ++instance.beats_};
+        deliver(index, instance.life_, event);
     }
     at(now_ + AnnounceInterval, [this, index]() { announce(index); });
 }
 
+int FakeFleet::slownessOf(std::size_t index) const
+{
+    return slowness_ ? slowness_(index) : 0;
+}
+
+BackendId FakeFleet::backendIdOf(std::size_t index) const
+{
+    return BackendId("b" + std::to_string(index) + "-" + std::to_string(instances_[index].backendLife_));
+}
+
 Millis FakeFleet::delay(std::size_t from, std::size_t to)
 {
     constexpr std::size_t DomainsPerRegion = 2;
@@ -333,7 +351,7 @@
     const ExchangeHandle handle = link->handle_;
     const int life = link->serverLife_;
     if (!instance.backendUp_) {
-        at(now_ + Millis(1), [this, index, life, handle]() { deliver(index, life, BackendFailed{handle, BackendFault::Unreachable}); });
+        at(now_ + Millis(1), [this, index, life, handle]() { deliver(index, life, BackendFailed{handle, BackendFault::Unreachable, {}}); });
         return;
     }
     const FakeCall &call = calls_[link->call_.value() - 1];
@@ -347,12 +365,18 @@
     }
     ++instance.running_;
     instance.mostRunning_ = std::max(instance.mostRunning_, instance.running_);
-    const Millis work = workOf_ ? workOf_(index) : instance.work_;
+    constexpr std::int64_t WholePercent = 100;
+    const Millis usual = workOf_ ? workOf_(index) : instance.work_;
+    // The state at the start of work decides its whole length.
+    const int slowness = slownessOf(index);
+    const Millis work = slowness == 0 ? usual : Millis::fromMicros(usual.micros() * slowness / WholePercent);
     at(now_ + work, [this, index, life, handle, link, backendLife = instance.backendLife_]() {
         const bool runs = std::exchange(link->running_, false);
         if (runs && instances_[index].backendLife_ == backendLife) {
             --instances_[index].running_;
-            deliver(index, life, BackendAnswered{handle, 200});
+            const FakeInstance &done = instances_[index];
+            const BackendLoad load{Slots(done.running_), Slots(), Slots(done.slots_), Percent(slownessOf(index))};
+            deliver(index, life, BackendAnswered{handle, 200, load});
         }
     });
 }
--- a/test/fake/fake_fleet.h
+++ b/test/fake/fake_fleet.h
@@ -50,6 +50,9 @@
     // Kills the backend server that runs it.
     bool kills_ = false;
     Millis timeout_{};
+    // Terms of a route; the ticket's class holds otherwise.
+    CallTerms terms_{};
+    Bytes bodySize_{};
 };
 
 // One instance: its world, its backend server, its condition.
@@ -70,6 +73,8 @@
     Millis work_{5};
     int running_ = 0;
     int mostRunning_ = 0;
+    // Announcements so far.
+    std::uint64_t beats_ = 0;
     // Raised at each failure of the backend server.
     int backendLife_ = 0;
     std::vector<Millis> handOvers_;
@@ -133,6 +138,12 @@
     // Runs an action at a later time.
     void at(Millis time, std::function<void()> action);
 
+    // Figure that the backend server tells now; zero when it tells none.
+    [[nodiscard]] int slownessOf(std::size_t index) const;
+
+    // Id of the present start of a backend server.
+    [[nodiscard]] BackendId backendIdOf(std::size_t index) const;
+
     [[nodiscard]] Millis now() const;
     World &world(std::size_t index);
     [[nodiscard]] std::size_t size() const;
@@ -155,6 +166,10 @@
     int killed_ = 0;
     // Work of each request, when the instances' fixed work does not serve.
     std::function<Millis(std::size_t)> workOf_;
+    // How long work takes at this moment at an instance, in hundredths of the usual; a backend server that tells nothing when unset.
+    std::function<int(std::size_t)> slowness_;
+    // Health checks that were answered.
+    std::uint64_t checks_ = 0;
     // Chance of a lost or doubled datagram, in thousandths.
     std::uint64_t datagramLoss_ = 0;
     // Chance of a message that takes long, in thousandths.
@@ -201,6 +216,8 @@
     void apply(std::size_t index, const FailExchange &effect);
     void apply(std::size_t index, const EndExchange &effect);
     void apply(std::size_t index, const CancelBackend &effect);
+    void apply(std::size_t index, const CheckBackend &effect);
+    void answerWatch(std::size_t index, int life, const SendStore &effect, Millis until);
     void apply(std::size_t index, const SendDatagram &effect);
     void apply(std::size_t index, const SendTicketPull &effect);
     void apply(std::size_t index, const SendTicketBatch &effect);
--- a/test/fake/fake_store.h
+++ b/test/fake/fake_store.h
@@ -21,6 +21,14 @@
     std::uint64_t staleAfter_ = ~std::uint64_t{0};
     std::map<std::string, ClaimValue> claims_;
     std::map<std::uint64_t, Ticket> tickets_;
+    // The desired state, the position of its change, and the list of daemons.
+    std::vector<TicketObject> routing_;
+    StoreRevision routingAt_;
+    std::vector<MemberRow> members_;
+    // Position of the latest change of any row.
+    StoreRevision revision_;
+    // Positions before this one are forgotten.
+    StoreRevision historyFrom_;
     std::uint64_t reads_ = 0;
     std::uint64_t writes_ = 0;
 
@@ -54,7 +62,9 @@
         if (done) {
             row->second = replace.value_;
         }
-        return StoreAnswer{true, {ClaimResult{done, row == claims_.end() ? ClaimValue{} : row->second}}, {}, false};
+        StoreAnswer answer;
+        answer.claims_ = {ClaimResult{done, row == claims_.end() ? ClaimValue{} : row->second}};
+        return answer;
     }
 
     StoreAnswer apply(const ClaimDelete &removal)
@@ -65,7 +75,60 @@
         if (done) {
             claims_.erase(row);
         }
-        return StoreAnswer{true, {ClaimResult{done, {}}}, {}, false};
+        StoreAnswer answer;
+        answer.claims_ = {ClaimResult{done, {}}};
+        return answer;
+    }
+
+    // Puts a desired state in place, as operators do.
+    void putRouting(const TicketObject &object)
+    {
+        routing_ = {object};
+        revision_ = StoreRevision(revision_.value() + 1);
+        routingAt_ = revision_;
+    }
+
+    StoreAnswer apply(const RoutingRead & /*read*/)
+    {
+        ++reads_;
+        StoreAnswer answer;
+        answer.routing_ = routing_;
+        answer.revision_ = revision_;
+        return answer;
+    }
+
+    StoreAnswer apply(const RoutingWatch &watch)
+    {
+        ++reads_;
+        StoreAnswer answer;
+        answer.historyGone_ = watch.after_ < historyFrom_;
+        answer.revision_ = revision_;
+        if (!answer.historyGone_ && routingAt_ > watch.after_) {
+            answer.routing_ = routing_;
+        }
+        return answer;
+    }
+
+    StoreAnswer apply(const MemberPut &put)
+    {
+        ++writes_;
+        std::erase_if(members_, [&](const MemberRow &row) { return row.name_ == put.row_.name_; });
+        members_.push_back(put.row_);
+        return {};
+    }
+
+    StoreAnswer apply(const MemberList & /*list*/)
+    {
+        ++reads_;
+        StoreAnswer answer;
+        answer.members_ = members_;
+        return answer;
+    }
+
+    // True when a watch from a position has something to tell at once.
+    [[nodiscard]] bool hasNews(const RoutingWatch &watch) const
+    {
+        return down_ || watch.after_ < historyFrom_ || routingAt_ > watch.after_;
     }
 
     StoreAnswer apply(const TicketInsert &insert)
@@ -82,7 +145,9 @@
     {
         ++writes_;
         const auto row = tickets_.find(verify.number_.value());
-        return StoreAnswer{true, {}, row == tickets_.end() ? std::vector<Ticket>() : std::vector<Ticket>{row->second}, false};
+        StoreAnswer answer;
+        answer.tickets_ = row == tickets_.end() ? std::vector<Ticket>() : std::vector<Ticket>{row->second};
+        return answer;
     }
 
     StoreAnswer apply(const TicketRead &read)
