Leaving daemons take calls for part of the grace only; settings are read again on SIGHUP or when the file changes

Cause: a daemon that was asked to end took calls until its end and cut them; SIGHUP had no handler and ended the process.

--- a/src/call/call_cmd.cpp
+++ b/src/call/call_cmd.cpp
@@ -8,6 +8,7 @@
 #include "measure/repeat_func.h"
 #include "ticket/route_func.h"
 #include "ticket/ticket_func.h"
+#include "world/shutdown_func.h"
 #include "world/world.h"
 
 #include <algorithm>
@@ -65,8 +66,7 @@
 // Why a call cannot be taken, or Ok.
 ResultCode refusalOf(const World &world, const CallArrived &event, bool declared)
 {
-    // Callers of a routed deployment go on coming until they have seen that this daemon is not ready any more.
-    if (isLeaving(world) && !event.terms_.routed_) {
+    if (refusesCalls(world)) {
         return ResultCode::DaemonLeaving;
     }
     if (!world.tickets_.current_) {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -53,6 +53,11 @@
     admin_.start();
 }
 
+Engine &Daemon::engine()
+{
+    return engine_;
+}
+
 void Daemon::shutDown()
 {
     engine_.post(ShutdownAsked{});
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -20,6 +20,9 @@
     // Opens all ports. Throws boost::system::system_error when one is taken.
     Daemon(asio::io_context &context, const DaemonSettings &settings, const Dialect &dialect, std::uint64_t seed);
 
+    // The world and its events, for parts that start after the daemon.
+    Engine &engine();
+
     // Starts to serve.
     void start();
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -2,6 +2,7 @@
 #include "core/error.h"
 #include "daemon/daemon.h"
 #include "daemon/log.h"
+#include "daemon/settings_watch.h"
 #include "platform/dialect.h"
 #include "wire/json_reader.h"
 
@@ -42,14 +43,17 @@
 }
 
 // Runs a daemon until it is asked to end and nothing is in flight.
-void runDaemon(DaemonSettings settings, const Dialect &dialect)
+void runDaemon(const std::string &path, const SettingsParser &parser, const Dialect &dialect)
 {
+    DaemonSettings settings = parser(readFile(path));
     settings.world_.incarnation_ = Incarnation(unixMillis());
     startLog(settings.world_.name_.value());
     asio::io_context context(1);
     std::random_device device;
     Daemon daemon(context, settings, dialect, (static_cast<std::uint64_t>(device()) << 32U) | device());
+    SettingsWatch watch(daemon.engine(), path, parser);
     daemon.start();
+    watch.start();
     asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&](const error_code & /*problem*/, int /*number*/) { daemon.shutDown(); });
     logChange("started in " + settings.world_.failureDomain_);
@@ -76,13 +80,14 @@
         std::cerr << "radishfordd: either --settings or --platform-settings is required\n" << description;
         return ExitBadSettings;
     }
-    const DaemonSettings settings
-        = onPlatform ? platform::parseSettings(readFile(values["platform-settings"].as<std::string>())) : readSettings(values["settings"].as<std::string>());
+    const std::string path = values[onPlatform ? "platform-settings" : "settings"].as<std::string>();
+    const SettingsParser parser = onPlatform ? platform::parseSettings : parseSettings;
     if (values.count("check-settings") > 0) {
+        parser(readFile(path));
         std::cout << "settings are valid\n";
         return ExitOk;
     }
-    runDaemon(settings, onPlatform ? platform::dialect() : ownDialect());
+    runDaemon(path, parser, onPlatform ? platform::dialect() : ownDialect());
     return ExitOk;
 }
 
--- a/src/world/event_type.h
+++ b/src/world/event_type.h
@@ -8,6 +8,7 @@
 #include "fleet/gossip_type.h"
 #include "store/store_type.h"
 #include "ticket/ticket_type.h"
+#include "world/world_settings.h"
 
 #include <string>
 #include <variant>
@@ -195,6 +196,11 @@
     Ticket ticket_;
 };
 
+// The settings file has changed. Addresses and names stay as they were at the start.
+struct SettingsChanged {
+    WorldSettings settings_;
+};
+
 // The process was asked to end.
 struct ShutdownAsked {
 };
@@ -202,7 +208,7 @@
 // Any event.
 using Event = std::variant<CallArrived, CallerGone, OfferReplied, WithdrawReplied, AttemptFailed, AnswerStarted, AnswerCompleted, ExchangeLost, OfferArrived,
                            GoArrived, BodyArrived, WithdrawArrived, PeerGone, BackendAnswered, BackendFailed, BackendChecked, BackendAnnounced, BackendLeft,
-                           DatagramArrived, TicketBatchArrived, StoreAnswered, TicketSubmitted, ShutdownAsked>;
+                           DatagramArrived, TicketBatchArrived, StoreAnswered, TicketSubmitted, SettingsChanged, ShutdownAsked>;
 
 // Events in order of arrival.
 using Inbox = std::vector<Event>;
--- a/src/world/shutdown.cpp
+++ b/src/world/shutdown.cpp
@@ -16,18 +16,42 @@
 // True when callers of a routed deployment may still come: they are only turned away by the readiness page.
 bool callersMayCome(const World &world)
 {
-    return world.settings_.routed_ && world.now_ < world.lastCallAt_ + QuietSpan;
+    return world.settings_.leaveRefuse_ != Millis::never() && !refusesCalls(world) && world.now_ < world.lastCallAt_ + QuietSpan;
 }
 
 // When the daemon may end at the earliest.
 Millis leaveAt(const World &world)
 {
     const Millis least = world.leavingSince_ + world.settings_.leaveLeast_;
-    return callersMayCome(world) ? std::max(least, world.lastCallAt_ + QuietSpan) : least;
+    const Millis quiet = std::min(world.lastCallAt_ + QuietSpan, world.leavingSince_ + world.settings_.leaveRefuse_);
+    return callersMayCome(world) ? std::max(least, quiet) : least;
 }
 
 } // namespace
 
+void handle(World &world, const SettingsChanged &event)
+{
+    WorldSettings &own = world.settings_;
+    const WorldSettings &fresh = event.settings_;
+    own.seeds_ = fresh.seeds_;
+    own.announcementLease_ = fresh.announcementLease_;
+    own.repeatShare_ = fresh.repeatShare_;
+    own.repeatSlack_ = fresh.repeatSlack_;
+    own.repeatWindow_ = fresh.repeatWindow_;
+    own.checksPerSecond_ = fresh.checksPerSecond_;
+    own.leaveLeast_ = fresh.leaveLeast_;
+    own.leaveRefuse_ = fresh.leaveRefuse_;
+    own.leaveMost_ = fresh.leaveMost_;
+    own.backendService_ = fresh.backendService_;
+    own.backendAddress_ = fresh.backendAddress_;
+}
+
+bool refusesCalls(const World &world)
+{
+    const WorldSettings &settings = world.settings_;
+    return isLeaving(world) && (settings.leaveRefuse_ == Millis::never() || world.now_ >= world.leavingSince_ + settings.leaveRefuse_);
+}
+
 void handle(World &world, const ShutdownAsked & /*event*/)
 {
     if (isLeaving(world)) {
--- a/src/world/world_settings.h
+++ b/src/world/world_settings.h
@@ -54,8 +54,10 @@
     Millis repeatWindow_{10000};
     // Health checks a second of the backend server beside this daemon.
     double checksPerSecond_ = 0;
-    // Once asked to end, a daemon serves on for the first span at least and for the second at most.
+    // Once asked to end, a daemon serves on for the first span at least, takes calls until the second if that is set, and ends at the
+    // third at the latest.
     Millis leaveLeast_{500};
+    Millis leaveRefuse_ = Millis::never();
     Millis leaveMost_ = Millis::never();
     // False lets queued requests run without Go and makes no second offers: a baseline for measurements.
     bool lateBinding_ = true;
