Requests start by value: slots below the knee, order by what can still be on time, fewer far offers

Ruled out: polling with a longer wait only. Change: at most 0.78 of the slots; a request whose value can no longer be had goes behind; a full queue turns away the last in rank; waits between rounds grow; far servers with waiting requests are not asked for 100 ms.

--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -114,7 +114,7 @@
 bool mayTakeSlot(World &world, const RequestClass &requestClass, std::size_t classIndex, Fingerprint fingerprint)
 {
     const AdmissionTable &table = world.admissions_;
-    const bool slotFree = table.inFlight_ < limitNow(world);
+    const bool slotFree = table.inFlight_ < (world.settings_.routed_ ? usableSlots(world) : limitNow(world));
     const bool shareFree = queueOf(world, classIndex).inFlight_ < classLimit(world, requestClass);
     const bool suspectFree = table.suspectsInFlight_ == 0 || !isSuspect(world, fingerprint);
     if (world.settings_.routed_) {
@@ -252,13 +252,37 @@
     replyOffer(world, row, Verdict::Queued);
 }
 
-// Puts a routed offer into the queue without a word: the gate admits it in this tick, or as soon as it knows the server's state.
-void takeRouted(World &world, const OfferArrived &event, const RequestClass &requestClass)
+// Order of routed requests: those whose answer can still have its full value, then by urgency, then by when that ends.
+auto rankOf(const World &world, const Admission &row)
 {
-    if (queueOf(world, 0).waitingCount_ >= world.admissions_.backend_.slots_) {
-        refuse(world, event, ResultCode::Overloaded);
-        return;
+    const Millis valuableUntil = row.arrivedAt_ + row.offer_.valuable_;
+    const bool valueLost = valuableUntil < world.now_ + usualWork(world, row.offer_);
+    return std::tuple(valueLost, row.offer_.priority_, valueLost ? row.deadline_ : valuableUntil);
+}
+
+// True when the first request should run before the second.
+bool goesBefore(const World &world, const Admission &first, const Admission &second)
+{
+    return rankOf(world, first) < rankOf(world, second);
+}
+
+// The waiting request that should run last; invalid when none waits.
+AdmissionId lastWaiting(World &world)
+{
+    AdmissionId last;
+    for (const AdmissionId id : queueOf(world, 0).waiting_) {
+        const Admission *row = world.admissions_.rows_.get(id);
+        if (row != nullptr && (!last.isValid() || goesBefore(world, *world.admissions_.rows_.get(last), *row))) {
+            last = id;
+        }
     }
+    return last;
+}
+
+// Puts a routed offer into the queue without a word: the gate admits it in this tick, or as soon as it knows the server's state. A full
+// queue turns away the request that would run last.
+void takeRouted(World &world, const OfferArrived &event, const RequestClass &requestClass)
+{
     const AdmissionId id = addAdmission(world, event, requestClass, 0);
     Admission &row = *world.admissions_.rows_.get(id);
     row.state_ = AdmissionState::Queued;
@@ -267,6 +291,9 @@
     queue.waiting_.push_back(id);
     queue.waitingCount_ += Slots(1);
     world.admissions_.queued_ += Slots(1);
+    if (queue.waitingCount_ > world.admissions_.backend_.slots_) {
+        failAdmission(world, lastWaiting(world), ResultCode::Overloaded);
+    }
 }
 
 // Goes on with a request that holds a slot, once Go and the body are here.
@@ -318,16 +345,6 @@
     }
 }
 
-// True when the first request should run before the second.
-bool goesBefore(const World &world, const Admission &first, const Admission &second)
-{
-    const auto rank = [&](const Admission &row) {
-        const bool valueLost = row.arrivedAt_ + row.offer_.valuable_ <= world.now_;
-        return std::tuple(valueLost, row.offer_.priority_, row.deadline_);
-    };
-    return rank(first) < rank(second);
-}
-
 // Takes the routed request that should run next out of the queue; invalid when none may run now.
 AdmissionId takeNextRouted(World &world)
 {
@@ -336,7 +353,7 @@
     auto best = queue.waiting_.end();
     for (auto at = queue.waiting_.begin(); at != queue.waiting_.end(); ++at) {
         const Admission &row = *world.admissions_.rows_.get(*at);
-        const bool may = hasRoomFor(world, row) && mayTakeSlot(world, routedClass(), 0, row.offer_.fingerprint_);
+        const bool may = mayTakeSlot(world, routedClass(), 0, row.offer_.fingerprint_);
         if (may && (best == queue.waiting_.end() || goesBefore(world, row, *world.admissions_.rows_.get(*best)))) {
             best = at;
         }
@@ -506,6 +523,7 @@
     }
     noteLatency(world.admissions_.backend_, world.now_ - row->handedOverAt_);
     noteLoad(world, event.load_);
+    noteWork(world, *row);
     clearSuspect(world, row->offer_.fingerprint_);
     const InstanceName sender = row->offer_.sender_;
     removeAdmission(world, id, ResultCode::Ok);
@@ -619,6 +637,7 @@
     }
     row.state_ = AdmissionState::Running;
     row.handedOverAt_ = world.now_;
+    row.startSlowness_ = world.admissions_.backend_.slowness_;
     world.counters_.add(Counter::HandedOver);
     const LocalBackend &backend = world.admissions_.backend_;
     world.emit(HandOver{row.exchange_, backend.address_, backend.id_, row.deadline_ - world.now_});
--- a/src/call/admission_table.h
+++ b/src/call/admission_table.h
@@ -81,6 +81,8 @@
     CheckTable checks_;
     // By index of the class in the service's ticket.
     std::vector<ClassQueue> classes_;
+    // Time from hand-over to answer at the usual speed, by class.
+    std::unordered_map<ClassName, Millis, StrongHash> usualWork_;
     // Requests that hold a slot.
     Slots inFlight_;
     // Requests that wait.
--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -265,7 +265,10 @@
     Offer offer;
     offer.attempt_ = id.packed();
     offer.sender_ = world.settings_.name_;
-    offer.callToken_ = world.settings_.name_.value() + ":" + std::to_string(world.settings_.incarnation_.value()) + ":" + std::to_string(callId.packed());
+    // Only a claim of the key needs the call's name.
+    offer.callToken_ = call.key_.empty()
+        ? std::string()
+        : world.settings_.name_.value() + ":" + std::to_string(world.settings_.incarnation_.value()) + ":" + std::to_string(callId.packed());
     offer.service_ = call.service_;
     offer.class_ = call.class_;
     offer.remaining_ = call.deadline_ - world.now_;
--- a/src/call/call_base.h
+++ b/src/call/call_base.h
@@ -49,6 +49,8 @@
     std::vector<InstanceName> tried_;
     // Instances that had no room; asked again after a short wait.
     std::vector<InstanceName> full_;
+    // Times that it found no room.
+    std::int32_t rounds_ = 0;
     // True while a timer will route the call again.
     bool waiting_ = false;
     // Latest reason against an attempt.
@@ -90,6 +92,8 @@
     Millis arrivedAt_;
     Millis deadline_;
     Millis handedOverAt_;
+    // How long work took, in parts of the usual, when it was handed over; zero when unknown.
+    Percent startSlowness_;
     // True when the body is complete at this side.
     bool bodyHere_ = false;
     // True when Go is needed before hand-over.
--- a/src/call/call_cmd.cpp
+++ b/src/call/call_cmd.cpp
@@ -25,6 +25,8 @@
 constexpr Millis RetryWait{50};
 // A routed call that found no room asks again after about this time; room changes with every answer.
 constexpr Millis RoundWait{15};
+// The wait grows with each round up to this many times.
+constexpr std::int32_t MostRounds = 6;
 // With less time left than this, no backend server is asked any more.
 constexpr Millis LeastWork{5};
 // Share of the deadline that a call may spend looking for a backend server.
@@ -159,7 +161,9 @@
         return;
     }
     call.waiting_ = true;
-    const double drawn = RoundWait.fraction() * (0.75 + world.random_.unit() / 2);
+    ++call.rounds_;
+    const double grown = RoundWait.fraction() * std::min(call.rounds_, MostRounds);
+    const double drawn = grown * (0.75 + world.random_.unit() / 2);
     world.timers_.add(world.now_ + Millis(static_cast<std::int64_t>(drawn)), TimerKind::CallRetry, id.packed());
 }
 
--- a/src/call/gate_func.h
+++ b/src/call/gate_func.h
@@ -26,8 +26,14 @@
 // Whether work may start now.
 GateState gateState(const World &world);
 
-// True when the server has room for a request: the last slots are kept for requests that have waited.
-bool hasRoomFor(const World &world, const Admission &row);
+// Slots that routed requests may hold: servers slow down when nearly all are taken.
+Slots usableSlots(const World &world);
+
+// Learns how long work of a request's class takes at the usual speed.
+void noteWork(World &world, const Admission &row);
+
+// How long work of an offer's class takes at the usual speed; zero when nothing is known.
+Millis usualWork(const World &world, const Offer &offer);
 
 // Asks the backend server for its load unless a check runs.
 void askForCheck(World &world);
--- a/src/call/gate_system.cpp
+++ b/src/call/gate_system.cpp
@@ -27,10 +27,11 @@
 constexpr double UsualRise = 0.004;
 // Checks that may be sent at once after a pause.
 constexpr double CheckBurst = 20.0;
-// Servers slow down when nearly all slots are taken; requests that have just come leave this part free.
-constexpr double FreeShare = 0.25;
-// A request that has waited this long may take one of the last slots.
-constexpr Millis PatientAfter{60};
+// Answers over which the usual work of a class is averaged.
+constexpr std::int64_t WorkMemory = 16;
+constexpr double PercentScale = 100.0;
+// Servers slow down by more than they gain when nearly all slots are taken; this part of them is used at most.
+constexpr double UsedShare = 0.78;
 
 // True when checks can tell anything: the path is known and the server has told its speed before, or was never asked.
 bool canCheck(const World &world)
@@ -97,12 +98,27 @@
     return backend.slowness_.value() > backend.usualSlowness_ * SlowFactor ? GateState::Shut : GateState::Open;
 }
 
-bool hasRoomFor(const World &world, const Admission &row)
+Slots usableSlots(const World &world)
 {
-    const double limit = limitNow(world).value();
-    const bool patient = world.now_ - row.arrivedAt_ >= PatientAfter;
-    const double open = patient ? limit : std::max(1.0, limit * (1 - FreeShare));
-    return world.admissions_.inFlight_.value() < open;
+    const double usable = limitNow(world).value() * UsedShare;
+    return Slots(std::max(1, static_cast<std::int32_t>(usable)));
+}
+
+void noteWork(World &world, const Admission &row)
+{
+    const double slowness = std::max(1.0, row.startSlowness_.value() / PercentScale);
+    const Millis work = Millis::fromMicros(static_cast<std::int64_t>((world.now_ - row.handedOverAt_).micros() / slowness));
+    const auto [entry, added] = world.admissions_.usualWork_.try_emplace(row.offer_.class_, work);
+    if (!added) {
+        const std::int64_t step = (work.micros() - entry->second.micros()) / WorkMemory;
+        entry->second = Millis::fromMicros(entry->second.micros() + step);
+    }
+}
+
+Millis usualWork(const World &world, const Offer &offer)
+{
+    const auto found = world.admissions_.usualWork_.find(offer.class_);
+    return found == world.admissions_.usualWork_.end() ? Millis() : found->second;
 }
 
 void askForCheck(World &world)
--- a/src/measure/predict.cpp
+++ b/src/measure/predict.cpp
@@ -36,9 +36,19 @@
 constexpr double PatienceMs = 30.0;
 // Spread of equal choices, so that daemons with the same view do not meet at one server.
 constexpr double JitterMs = 6.0;
+// A server in another region that had requests waiting is not asked again for this long.
+constexpr Millis FullFor{100};
 constexpr double BytesPerKilobyte = 1000.0;
 constexpr double PercentScale = 100.0;
 
+// True when a server in another region had no room by its latest report, and that is not long ago: asking costs a long round trip.
+bool isFarAndFull(const World &world, const Instance &instance)
+{
+    const bool far = instance.region_ != ownRegion(world);
+    const bool fresh = instance.reportedAt_ != Millis::never() && world.now_ - instance.reportedAt_ < FullFor;
+    return far && fresh && instance.report_.queued_ > Slots();
+}
+
 // What it takes to reach an instance, in milliseconds of waiting.
 double distanceTo(const World &world, const Call &call, const Instance &instance)
 {
@@ -104,7 +114,7 @@
     for (const InstanceId id : members->second) {
         const Instance &instance = *world.fleet_.rows_.get(id);
         const double distance = distanceTo(world, call, instance);
-        if (distance > reach || !isEligible(world, call, id, instance)) {
+        if (distance > reach || !isEligible(world, call, id, instance) || isFarAndFull(world, instance)) {
             continue;
         }
         const double end = workAt(world, instance) + distance + world.random_.unit() * JitterMs;
