Calls stay near while their slack allows; a server's knee is learned

Change: distance costs waiting by the bytes moved, up to a part of the latency target; the time of work near full is compared with the time below, and the last slots are used unless it is a quarter longer.

--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -637,6 +637,7 @@
     }
     row.state_ = AdmissionState::Running;
     row.handedOverAt_ = world.now_;
+    row.startedNearFull_ = isNearFull(world);
     row.startSlowness_ = world.admissions_.backend_.slowness_;
     world.counters_.add(Counter::HandedOver);
     const LocalBackend &backend = world.admissions_.backend_;
--- a/src/call/admission_table.h
+++ b/src/call/admission_table.h
@@ -44,6 +44,13 @@
     // How long work takes at this moment as last told; zero when it was never told.
     Percent slowness_;
     Millis slownessAt_;
+    // Time of work at the usual speed with few and with nearly all slots taken, relative to its class's usual one, and how many answers
+    // told the latter.
+    double workBelow_ = 1.0;
+    double workNearFull_ = 1.0;
+    std::int32_t nearFullAnswers_ = 0;
+    // When nearly all slots are next tried again.
+    Millis tryFullAt_;
     // Lowest slowness of late: what is usual for this server.
     double usualSlowness_ = 0;
 };
--- a/src/call/call_base.h
+++ b/src/call/call_base.h
@@ -94,6 +94,8 @@
     Millis handedOverAt_;
     // How long work took, in parts of the usual, when it was handed over; zero when unknown.
     Percent startSlowness_;
+    // True when nearly all slots were taken at that moment.
+    bool startedNearFull_ = false;
     // True when the body is complete at this side.
     bool bodyHere_ = false;
     // True when Go is needed before hand-over.
--- a/src/call/gate_func.h
+++ b/src/call/gate_func.h
@@ -29,6 +29,9 @@
 // Slots that routed requests may hold: servers slow down when nearly all are taken.
 Slots usableSlots(const World &world);
 
+// True when nearly all slots are taken.
+bool isNearFull(const World &world);
+
 // Learns how long work of a request's class takes at the usual speed.
 void noteWork(World &world, const Admission &row);
 
--- a/src/call/gate_system.cpp
+++ b/src/call/gate_system.cpp
@@ -30,8 +30,16 @@
 // Answers over which the usual work of a class is averaged.
 constexpr std::int64_t WorkMemory = 16;
 constexpr double PercentScale = 100.0;
-// Servers slow down by more than they gain when nearly all slots are taken; this part of them is used at most.
-constexpr double UsedShare = 0.78;
+// Some servers slow down by more than they gain when nearly all slots are taken. Above this part of the slots they are near full.
+constexpr double NearFullShare = 0.78;
+// Work that takes this many times as long near full is not worth the slots gained.
+constexpr double NearFullLoss = 1.25;
+// Answers that tell whether a server slows down near full, and the time after which that is tried again.
+constexpr std::int32_t NearFullTrials = 10;
+constexpr Millis TryFullAgain{10000};
+constexpr double WorkStep = 0.1;
+// An answer that took longer than this, relative to the usual, counts as this much: its work was waiting for something else.
+constexpr double MostRelative = 3.0;
 
 // True when checks can tell anything: the path is known and the server has told its speed before, or was never asked.
 bool canCheck(const World &world)
@@ -67,6 +75,35 @@
     }
 }
 
+// Slots up to which a server is not near full.
+Slots nearFullFrom(const World &world)
+{
+    const double slots = limitNow(world).value() * NearFullShare;
+    return Slots(std::max(1, static_cast<std::int32_t>(slots)));
+}
+
+// True when a server may take requests for all slots: it does not slow down by that, or it is not known yet.
+bool mayFill(const LocalBackend &backend)
+{
+    const bool known = backend.nearFullAnswers_ >= NearFullTrials;
+    return !known || backend.workNearFull_ < backend.workBelow_ * NearFullLoss;
+}
+
+// Learns whether the server slows down near full.
+void noteNearFull(World &world, const Admission &row, double relative)
+{
+    LocalBackend &backend = world.admissions_.backend_;
+    double &average = row.startedNearFull_ ? backend.workNearFull_ : backend.workBelow_;
+    average += (relative - average) * WorkStep;
+    if (row.startedNearFull_) {
+        ++backend.nearFullAnswers_;
+        backend.tryFullAt_ = world.now_ + TryFullAgain;
+    } else if (world.now_ >= backend.tryFullAt_) {
+        backend.nearFullAnswers_ = 0;
+        backend.tryFullAt_ = world.now_ + TryFullAgain;
+    }
+}
+
 // Sets the rate of checks once it is known.
 void fillAllowance(World &world)
 {
@@ -100,8 +137,12 @@
 
 Slots usableSlots(const World &world)
 {
-    const double usable = limitNow(world).value() * UsedShare;
-    return Slots(std::max(1, static_cast<std::int32_t>(usable)));
+    return mayFill(world.admissions_.backend_) ? limitNow(world) : nearFullFrom(world);
+}
+
+bool isNearFull(const World &world)
+{
+    return world.admissions_.inFlight_ > nearFullFrom(world);
 }
 
 void noteWork(World &world, const Admission &row)
@@ -109,6 +150,9 @@
     const double slowness = std::max(1.0, row.startSlowness_.value() / PercentScale);
     const Millis work = Millis::fromMicros(static_cast<std::int64_t>((world.now_ - row.handedOverAt_).micros() / slowness));
     const auto [entry, added] = world.admissions_.usualWork_.try_emplace(row.offer_.class_, work);
+    if (entry->second > Millis()) {
+        noteNearFull(world, row, std::min(MostRelative, work.fraction() / entry->second.fraction()));
+    }
     if (!added) {
         const std::int64_t step = (work.micros() - entry->second.micros()) / WorkMemory;
         entry->second = Millis::fromMicros(entry->second.micros() + step);
--- a/src/measure/predict.cpp
+++ b/src/measure/predict.cpp
@@ -28,12 +28,17 @@
 constexpr double RegionRoundTripMs = 3.0;
 constexpr double FarRoundTripMs = 17.0;
 // Waiting that is worth keeping a kilobyte within its failure domain, or its region: such traffic is billed.
-constexpr double CrossDomainMsPerKilobyte = 3.0;
-constexpr double CrossRegionMsPerKilobyte = 4.0;
+constexpr double CrossDomainMsPerKilobyte = 10.0;
+constexpr double CrossRegionMsPerKilobyte = 14.0;
+// Parts of the latency target that are spent on staying near at most, whatever the bytes.
+constexpr double MostOfTargetForDomain = 0.35;
+constexpr double MostOfTargetForRegion = 0.5;
+// Latency target assumed when the route states none.
+constexpr double UnknownTargetMs = 300.0;
 // Bytes of an answer and of the messages around it.
 constexpr double AnswerKilobytes = 2.0;
 // Waiting that a call accepts at once rather than stay near.
-constexpr double PatienceMs = 30.0;
+constexpr double PatienceMs = 10.0;
 // Spread of equal choices, so that daemons with the same view do not meet at one server.
 constexpr double JitterMs = 6.0;
 // A server in another region that had requests waiting is not asked again for this long.
@@ -54,13 +59,15 @@
 {
     const Instance &self = *world.fleet_.rows_.get(world.fleet_.self_);
     const double kilobytes = static_cast<double>(call.bodySize_.value()) / BytesPerKilobyte + AnswerKilobytes;
+    const Millis stated = call.valuableUntil_ - call.startedAt_;
+    const double target = stated > Millis() ? stated.fraction() : UnknownTargetMs;
     if (instance.domain_ == self.domain_) {
         return DomainRoundTripMs;
     }
     if (instance.region_ == self.region_) {
-        return RegionRoundTripMs + kilobytes * CrossDomainMsPerKilobyte;
+        return RegionRoundTripMs + std::min(kilobytes * CrossDomainMsPerKilobyte, target * MostOfTargetForDomain);
     }
-    return FarRoundTripMs + kilobytes * CrossRegionMsPerKilobyte;
+    return FarRoundTripMs + std::min(kilobytes * CrossRegionMsPerKilobyte, target * MostOfTargetForRegion);
 }
 
 // Predicted time from the start of work to its end, and the wait before it.
