A goodbye to a daemon that has just started holds; servers of a service learn their knee together; load replay tests

(2) Each server learned alone, and with few answers, whether it slows down near full. Change: goodbyes of unknown ids are kept for 10 s; reports carry a server's trials near full, the sum over the service judges; a replay of noisy servers and bursts compares the gate, order by value and near choice with the policies before them.

--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -263,6 +263,9 @@
 // True when the first request should run before the second.
 bool goesBefore(const World &world, const Admission &first, const Admission &second)
 {
+    if (!world.settings_.byValue_) {
+        return first.arrivedAt_ < second.arrivedAt_;
+    }
     return rankOf(world, first) < rankOf(world, second);
 }
 
--- a/src/call/admission_table.h
+++ b/src/call/admission_table.h
@@ -44,17 +44,22 @@
     // How long work takes at this moment as last told; zero when it was never told.
     Percent slowness_;
     Millis slownessAt_;
-    // Time of work at the usual speed with few and with nearly all slots taken, relative to its class's usual one, and how many answers
-    // told the latter.
-    double workBelow_ = 1.0;
-    double workNearFull_ = 1.0;
-    std::int32_t nearFullAnswers_ = 0;
-    // When nearly all slots are next tried again.
-    Millis tryFullAt_;
+    // Answers near full in the present series of trials, and the sum of their work relative to its class's usual one.
+    std::int32_t fullTrials_ = 0;
+    double fullWork_ = 0;
+    // Whether all slots may be used, by what all servers of the service have found, and when that is worked out again.
+    bool mayFill_ = true;
+    Millis judgeFullAt_;
     // Lowest slowness of late: what is usual for this server.
     double usualSlowness_ = 0;
 };
 
+// A goodbye of a backend server that had not announced itself to this process.
+struct EarlyGoodbye {
+    BackendId id_;
+    Millis at_;
+};
+
 // Health checks of the backend server.
 struct CheckTable {
     // True while one runs.
@@ -86,6 +91,8 @@
     std::unordered_map<ExchangeHandle, AdmissionId, StrongHash> byExchange_;
     LocalBackend backend_;
     CheckTable checks_;
+    // Latest goodbyes that came before any announcement of that id.
+    std::deque<EarlyGoodbye> goodbyes_;
     // By index of the class in the service's ticket.
     std::vector<ClassQueue> classes_;
     // Time from hand-over to answer at the usual speed, by class.
--- a/src/call/backend_cmd.cpp
+++ b/src/call/backend_cmd.cpp
@@ -18,10 +18,13 @@
 constexpr double ColdShare = 0.25;
 // The limit of a cold backend server is worked out anew this often while requests wait.
 constexpr Millis WarmInterval{100};
+// A goodbye holds this long against announcements whose start is not known to be later; those come seconds late at most.
+constexpr Millis GoodbyeHolds{10000};
+constexpr std::size_t MostGoodbyes = 8;
 // Weight of a new latency in the moving average.
 constexpr double LatencyWeight = 0.1;
 // Bytes that a load report adds to a message.
-constexpr Bytes ReportBytes{13};
+constexpr Bytes ReportBytes{16};
 
 // Refuses everything that waits: the backend server takes no new work.
 void refuseWaiting(World &world, ResultCode code)
@@ -77,6 +80,24 @@
     return event.sequence_ <= backend.sequence_;
 }
 
+// Remembers a goodbye of a backend server that is not known yet.
+void keepGoodbye(World &world, const BackendId &id)
+{
+    auto &goodbyes = world.admissions_.goodbyes_;
+    goodbyes.push_back(EarlyGoodbye{id, world.now_});
+    if (goodbyes.size() > MostGoodbyes) {
+        goodbyes.pop_front();
+    }
+}
+
+// True when a goodbye under this id came a short time ago: an announcement that comes after it was late on its way.
+bool saidGoodbye(const World &world, const BackendId &id)
+{
+    const auto &goodbyes = world.admissions_.goodbyes_;
+    return std::any_of(goodbyes.begin(), goodbyes.end(),
+                       [&](const EarlyGoodbye &goodbye) { return goodbye.id_ == id && world.now_ - goodbye.at_ < GoodbyeHolds; });
+}
+
 } // namespace
 
 Slots limitNow(const World &world)
@@ -142,9 +163,11 @@
         backend.incarnation_ = event.incarnation_;
         backend.latency_ = Millis();
         backend.id_ = event.id_;
-        backend.goodbye_ = false;
+        backend.goodbye_ = saidGoodbye(world, event.id_);
         backend.slowness_ = Percent();
         backend.usualSlowness_ = 0;
+        backend.fullTrials_ = 0;
+        backend.fullWork_ = 0;
     }
     backend.sequence_ = event.sequence_;
     backend.announcedAt_ = world.now_;
@@ -154,10 +177,15 @@
 void handle(World &world, const BackendLeft &event)
 {
     LocalBackend &backend = world.admissions_.backend_;
-    if (backend.state_ == BackendState::Absent || backend.id_ != event.id_) {
+    if (backend.id_ != event.id_) {
+        // A daemon that has just started hears of this server for the first time.
+        keepGoodbye(world, event.id_);
         return;
     }
     backend.goodbye_ = true;
+    if (backend.state_ == BackendState::Absent) {
+        return;
+    }
     setBackendState(world, BackendState::Draining);
 }
 
@@ -176,7 +204,10 @@
 LoadReport currentLoad(const World &world)
 {
     const AdmissionTable &table = world.admissions_;
-    return LoadReport{table.inFlight_, table.queued_, limitNow(world), table.backend_.latency_, table.backend_.slowness_};
+    const LocalBackend &backend = table.backend_;
+    constexpr double PercentScale = 100.0;
+    const Percent fullWork(static_cast<std::int32_t>(backend.fullWork_ * PercentScale));
+    return LoadReport{table.inFlight_, table.queued_, limitNow(world), backend.latency_, backend.slowness_, backend.fullTrials_, fullWork};
 }
 
 LoadReport reportFor(World &world, const InstanceName &receiver)
--- a/src/call/gate_func.h
+++ b/src/call/gate_func.h
@@ -27,7 +27,7 @@
 GateState gateState(const World &world);
 
 // Slots that routed requests may hold: servers slow down when nearly all are taken.
-Slots usableSlots(const World &world);
+Slots usableSlots(World &world);
 
 // True when nearly all slots are taken.
 bool isNearFull(const World &world);
--- a/src/call/gate_system.cpp
+++ b/src/call/gate_system.cpp
@@ -33,11 +33,14 @@
 // Some servers slow down by more than they gain when nearly all slots are taken. Above this part of the slots they are near full.
 constexpr double NearFullShare = 0.78;
 // Work that takes this many times as long near full is not worth the slots gained.
-constexpr double NearFullLoss = 1.25;
-// Answers that tell whether a server slows down near full, and the time after which that is tried again.
-constexpr std::int32_t NearFullTrials = 10;
-constexpr Millis TryFullAgain{10000};
-constexpr double WorkStep = 0.1;
+constexpr double NearFullLoss = 1.1;
+// Answers of one server in a series of trials, and of all servers of a service that tell whether they slow down near full.
+constexpr std::int32_t OwnFullTrials = 6;
+constexpr std::int32_t AllFullTrials = 24;
+// Answers counted of one server, so that a report can carry them.
+constexpr std::int32_t MostFullTrials = 100;
+// Time between judgements by the reports at hand.
+constexpr Millis JudgeFullInterval{100};
 // An answer that took longer than this, relative to the usual, counts as this much: its work was waiting for something else.
 constexpr double MostRelative = 3.0;
 
@@ -82,25 +85,34 @@
     return Slots(std::max(1, static_cast<std::int32_t>(slots)));
 }
 
-// True when a server may take requests for all slots: it does not slow down by that, or it is not known yet.
-bool mayFill(const LocalBackend &backend)
+// Adds up what all servers of the service have found near full.
+bool judgeFull(const World &world)
 {
-    const bool known = backend.nearFullAnswers_ >= NearFullTrials;
-    return !known || backend.workNearFull_ < backend.workBelow_ * NearFullLoss;
+    const LocalBackend &backend = world.admissions_.backend_;
+    std::int32_t trials = backend.fullTrials_;
+    double work = backend.fullWork_;
+    const auto members = world.fleet_.byService_.find(backend.service_);
+    if (members != world.fleet_.byService_.end()) {
+        for (const InstanceId id : members->second) {
+            const LoadReport &report = world.fleet_.rows_.get(id)->report_;
+            const bool other = id != world.fleet_.self_;
+            trials += other ? report.fullTrials_ : 0;
+            work += other ? report.fullWork_.value() / PercentScale : 0;
+        }
+    }
+    if (trials < AllFullTrials) {
+        return backend.fullTrials_ < OwnFullTrials;
+    }
+    return work < NearFullLoss * trials;
 }
 
-// Learns whether the server slows down near full.
-void noteNearFull(World &world, const Admission &row, double relative)
+// Learns from an answer near full whether the server slows down by that.
+void noteNearFull(World &world, double relative)
 {
     LocalBackend &backend = world.admissions_.backend_;
-    double &average = row.startedNearFull_ ? backend.workNearFull_ : backend.workBelow_;
-    average += (relative - average) * WorkStep;
-    if (row.startedNearFull_) {
-        ++backend.nearFullAnswers_;
-        backend.tryFullAt_ = world.now_ + TryFullAgain;
-    } else if (world.now_ >= backend.tryFullAt_) {
-        backend.nearFullAnswers_ = 0;
-        backend.tryFullAt_ = world.now_ + TryFullAgain;
+    if (backend.fullTrials_ < MostFullTrials) {
+        ++backend.fullTrials_;
+        backend.fullWork_ += std::min(MostRelative, relative);
     }
 }
 
@@ -135,9 +147,14 @@
     return backend.slowness_.value() > backend.usualSlowness_ * SlowFactor ? GateState::Shut : GateState::Open;
 }
 
-Slots usableSlots(const World &world)
+Slots usableSlots(World &world)
 {
-    return mayFill(world.admissions_.backend_) ? limitNow(world) : nearFullFrom(world);
+    LocalBackend &backend = world.admissions_.backend_;
+    if (world.now_ >= backend.judgeFullAt_) {
+        backend.mayFill_ = judgeFull(world);
+        backend.judgeFullAt_ = world.now_ + JudgeFullInterval;
+    }
+    return backend.mayFill_ ? limitNow(world) : nearFullFrom(world);
 }
 
 bool isNearFull(const World &world)
@@ -150,10 +167,9 @@
     const double slowness = std::max(1.0, row.startSlowness_.value() / PercentScale);
     const Millis work = Millis::fromMicros(static_cast<std::int64_t>((world.now_ - row.handedOverAt_).micros() / slowness));
     const auto [entry, added] = world.admissions_.usualWork_.try_emplace(row.offer_.class_, work);
-    if (entry->second > Millis()) {
-        noteNearFull(world, row, std::min(MostRelative, work.fraction() / entry->second.fraction()));
-    }
-    if (!added) {
+    if (row.startedNearFull_ && entry->second > Millis()) {
+        noteNearFull(world, work.fraction() / entry->second.fraction());
+    } else if (!added) {
         const std::int64_t step = (work.micros() - entry->second.micros()) / WorkMemory;
         entry->second = Millis::fromMicros(entry->second.micros() + step);
     }
--- a/src/measure/choose.cpp
+++ b/src/measure/choose.cpp
@@ -156,7 +156,8 @@
 bool isEligible(const World &world, const Call &call, const Instance &instance)
 {
     const bool ready = instance.record_.health_ != Health::Left && instance.record_.backend_ == BackendState::Ready;
-    const bool tried = std::find(call.tried_.begin(), call.tried_.end(), instance.record_.name_) != call.tried_.end();
+    const auto names = [&](const std::vector<InstanceName> &list) { return std::find(list.begin(), list.end(), instance.record_.name_) != list.end(); };
+    const bool tried = names(call.tried_) || names(call.full_);
     return ready && !tried && instance.avoidUntil_ <= world.now_;
 }
 
@@ -196,7 +197,7 @@
 
 InstanceId chooseInstance(World &world, const Call &call)
 {
-    if (call.routed_) {
+    if (call.routed_ && world.settings_.strategy_ == StrategyKind::LoadThenLatency) {
         return choosePredicted(world, call);
     }
     const auto members = world.fleet_.byService_.find(call.service_);
--- a/src/measure/load_type.h
+++ b/src/measure/load_type.h
@@ -18,6 +18,10 @@
     Millis latency_;
     // How long work takes at this moment, in parts of the usual; zero when the backend server does not tell.
     Percent slowness_;
+    // Answers given while nearly all slots were taken, in the present series of trials, and how long their work took on the whole, in
+    // parts of the usual. All servers of a service learn from each other whether they slow down near full.
+    std::int32_t fullTrials_ = 0;
+    Percent fullWork_;
 };
 
 } // namespace radishford
--- a/src/wire/serialize.h
+++ b/src/wire/serialize.h
@@ -161,7 +161,7 @@
     value = Slots(raw);
 }
 
-// A report takes one byte when it is left out, and thirteen when it is there.
+// A report takes one byte when it is left out, and sixteen when it is there.
 template<typename Archive>
 void fields(Archive &archive, LoadReport &value)
 {
@@ -180,6 +180,12 @@
     auto slowness = static_cast<std::uint16_t>(std::clamp(value.slowness_.value(), 0, 0xFFFF));
     archive(slowness);
     value.slowness_ = Percent(slowness);
+    auto trials = static_cast<std::uint8_t>(std::clamp(value.fullTrials_, 0, 0xFF));
+    archive(trials);
+    value.fullTrials_ = trials;
+    auto work = static_cast<std::uint16_t>(std::clamp(value.fullWork_.value(), 0, 0xFFFF));
+    archive(work);
+    value.fullWork_ = Percent(work);
 }
 
 template<typename Archive>
--- a/src/world/world_settings.h
+++ b/src/world/world_settings.h
@@ -59,6 +59,8 @@
     Millis leaveLeast_{500};
     Millis leaveRefuse_ = Millis::never();
     Millis leaveMost_ = Millis::never();
+    // False runs waiting routed requests in order of arrival: a baseline for measurements.
+    bool byValue_ = true;
     // False lets queued requests run without Go and makes no second offers: a baseline for measurements.
     bool lateBinding_ = true;
 };
--- a/test/fake/fake_effects.cpp
+++ b/test/fake/fake_effects.cpp
@@ -74,6 +74,7 @@
     CallResult *result = resultOf(index, effect.call_);
     const LinkPtr link = byAttempt_[{index, effect.attempt_}];
     if (result != nullptr && link) {
+        farAnswers_ += sameRegion(link->client_, link->server_) ? 0 : 1;
         result->answer_ = calls_[link->call_.value() - 1].token_;
         result->endedAt_ = now_;
     }
@@ -194,6 +195,10 @@
 void FakeFleet::answerWatch(std::size_t index, int life, const SendStore &effect, Millis until)
 {
     const auto &watch = std::get<RoutingWatch>(effect.operation_);
+    if (storeDownFor_.contains(index)) {
+        at(now_ + Millis(2), [this, index, life, effect]() { deliver(index, life, StoreAnswered{effect.request_, {}}); });
+        return;
+    }
     if (!store_.hasNews(watch) && now_ < until) {
         at(now_ + WatchPoll, [this, index, life, effect, until]() { answerWatch(index, life, effect, until); });
         return;
@@ -210,7 +215,7 @@
         return;
     }
     at(now_ + Millis(2), [this, index, life, effect]() {
-        const StoreAnswer answer = store_.run(effect.operation_);
+        const StoreAnswer answer = storeDownFor_.contains(index) ? StoreAnswer{} : store_.run(effect.operation_);
         const Millis wait = answer.ok_ ? Millis(2) : Millis(1000);
         at(now_ + wait, [this, index, life, effect, answer]() { deliver(index, life, StoreAnswered{effect.request_, answer}); });
     });
--- a/test/fake/fake_fleet.cpp
+++ b/test/fake/fake_fleet.cpp
@@ -11,6 +11,8 @@
 constexpr std::uint32_t FirstIp = 0x7F000101;
 constexpr Millis AnnounceInterval{500};
 constexpr std::uint64_t PermilleScale = 1000;
+// Wall clock at time zero, in milliseconds.
+constexpr std::uint64_t ClockStart = 1000000;
 
 // Address of an instance.
 Address addressOf(std::size_t index)
@@ -54,7 +56,7 @@
     instance.paused_ = false;
     instance.exited_ = false;
     instance.backlog_.clear();
-    instance.settings_.incarnation_ = Incarnation(static_cast<std::uint64_t>(now_.count()) + 1);
+    instance.settings_.incarnation_ = Incarnation(static_cast<std::uint64_t>((now_ + clockOffset_).count()) + ClockStart);
     instance.world_ = std::make_unique<World>(instance.settings_, random_.bits(), now_);
     instance.wakeAt_ = Millis::never();
     tick(index, {});
@@ -281,12 +283,16 @@
     return BackendId("b" + std::to_string(index) + "-" + std::to_string(instances_[index].backendLife_));
 }
 
-Millis FakeFleet::delay(std::size_t from, std::size_t to)
+bool FakeFleet::sameRegion(std::size_t first, std::size_t second)
 {
     constexpr std::size_t DomainsPerRegion = 2;
     constexpr std::size_t Domains = 6;
-    const bool sameRegion = (from % Domains) / DomainsPerRegion == (to % Domains) / DomainsPerRegion;
-    const std::int64_t base = from == to ? 20 : (sameRegion ? 1000 : 8000);
+    return (first % Domains) / DomainsPerRegion == (second % Domains) / DomainsPerRegion;
+}
+
+Millis FakeFleet::delay(std::size_t from, std::size_t to)
+{
+    const std::int64_t base = from == to ? 20 : (sameRegion(from, to) ? 1000 : 8000);
     const bool late = random_.below(PermilleScale) < lateMessages_;
     const std::int64_t extra = static_cast<std::int64_t>(random_.below(late ? 2000000 : 300));
     return Millis::fromMicros(base + extra);
--- a/test/fake/fake_fleet.h
+++ b/test/fake/fake_fleet.h
@@ -168,6 +168,12 @@
     std::function<Millis(std::size_t)> workOf_;
     // How long work takes at this moment at an instance, in hundredths of the usual; a backend server that tells nothing when unset.
     std::function<int(std::size_t)> slowness_;
+    // Answers passed on from servers of other regions.
+    int farAnswers_ = 0;
+    // Instances that the store turns away.
+    std::set<std::size_t> storeDownFor_;
+    // Error of the wall clock by which start numbers are drawn.
+    Millis clockOffset_;
     // Health checks that were answered.
     std::uint64_t checks_ = 0;
     // Chance of a lost or doubled datagram, in thousandths.
@@ -194,6 +200,7 @@
     void arm(std::size_t index);
     void announce(std::size_t index);
     Millis delay(std::size_t from, std::size_t to);
+    static bool sameRegion(std::size_t first, std::size_t second);
     std::optional<std::size_t> find(const Address &address) const;
     bool isCut(std::size_t first, std::size_t second) const;
     void toServer(const LinkPtr &link, Event event);
--- /dev/null
+++ b/test/fake/load_pattern.h
@@ -0,0 +1,104 @@
+// Load patterns for replays: arrivals with bursts, servers whose speed changes in phases, and what became of the calls.
+#pragma once
+
+#include "fake/routed_fleet.h"
+
+#include <cmath>
+#include <cstddef>
+#include <vector>
+
+namespace radishford {
+
+// Speed phases of all servers: each draws anew whether it is slow, independently of before.
+class SpeedPhases
+{
+public:
+    // Slow for a share of the time, work then taking so many times as long; phases last about so long.
+    SpeedPhases(double share, int factor, Millis phase, std::uint64_t seed)
+        : share_(share)
+        , factor_(factor)
+        , phase_(phase)
+        , seed_(seed)
+    {
+    }
+
+    // The figure that a server tells at a time, in hundredths.
+    [[nodiscard]] int at(std::size_t server, Millis now) const
+    {
+        const auto shift = static_cast<std::int64_t>(server) * 37000;
+        const auto number = static_cast<std::uint64_t>((now.micros() + shift) / phase_.micros());
+        Random random(seed_ ^ (number * 0x9E3779B97F4A7C15ULL) ^ (server * 0xBF58476D1CE4E5B9ULL));
+        constexpr int Usual = 100;
+        return random.unit() < share_ ? Usual * factor_ : Usual;
+    }
+
+private:
+    double share_;
+    int factor_;
+    Millis phase_;
+    std::uint64_t seed_;
+};
+
+// One stretch of a load pattern.
+struct LoadStretch {
+    double callsPerSecond_ = 0;
+    Millis span_;
+};
+
+// What became of the calls of a replay.
+struct LoadOutcome {
+    int calls_ = 0;
+    int onTime_ = 0;
+    int late_ = 0;
+    // Refused or failed.
+    int unserved_ = 0;
+    // Unserved calls that were told so only after their target.
+    int heldLong_ = 0;
+    // Answers that came from another region.
+    int far_ = 0;
+    std::uint64_t checks_ = 0;
+    std::uint64_t offers_ = 0;
+
+    [[nodiscard]] double onTimeShare() const
+    {
+        return static_cast<double>(onTime_) / std::max(1, calls_);
+    }
+};
+
+// Replays stretches of load on a routed fleet; two calls of three are reads.
+inline LoadOutcome replayLoad(FakeFleet &fleet, const std::vector<LoadStretch> &stretches, std::uint64_t seed)
+{
+    Random random(seed);
+    const std::size_t first = fleet.calls_.size();
+    constexpr std::uint64_t Thirds = 3;
+    constexpr double MicrosPerSecond = 1e6;
+    for (const LoadStretch &stretch : stretches) {
+        const Millis end = fleet.now() + stretch.span_;
+        while (fleet.now() < end) {
+            const std::string token = "call" + std::to_string(fleet.calls_.size());
+            const FakeCall call = routedCall(token, random.below(Thirds) != 0);
+            fleet.call(random.below(fleet.size()), call);
+            const double wait = -std::log(1 - random.unit()) / stretch.callsPerSecond_;
+            fleet.runFor(Millis::fromMicros(static_cast<std::int64_t>(wait * MicrosPerSecond)));
+        }
+    }
+    fleet.runFor(Millis(3000));
+    LoadOutcome outcome;
+    for (std::size_t number = first; number < fleet.calls_.size(); ++number) {
+        const CallResult &result = fleet.results_[number];
+        const bool inTarget = result.endedAt_ - result.startedAt_ <= fleet.calls_[number].terms_.latencyTarget_;
+        ++outcome.calls_;
+        outcome.onTime_ += result.answer_ && inTarget ? 1 : 0;
+        outcome.late_ += result.answer_ && !inTarget ? 1 : 0;
+        outcome.unserved_ += result.answer_ ? 0 : 1;
+        outcome.heldLong_ += !result.answer_ && !inTarget ? 1 : 0;
+    }
+    outcome.checks_ = fleet.checks_;
+    outcome.far_ = fleet.farAnswers_;
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        outcome.offers_ += fleet.world(index).counters_.get(Counter::Attempts);
+    }
+    return outcome;
+}
+
+} // namespace radishford
--- /dev/null
+++ b/test/fake/routed_fleet.h
@@ -0,0 +1,76 @@
+// A fleet whose calls are routed by a desired state in the fake store.
+#pragma once
+
+#include "fake/fake_fleet.h"
+
+#include <string>
+
+namespace radishford {
+
+// Settings of a routed deployment with bounds like those of the users' sites.
+inline WorldSettings routedSettings()
+{
+    WorldSettings settings;
+    settings.routed_ = true;
+    settings.announcementLease_ = Millis(7500);
+    settings.repeatShare_ = Percent(20);
+    settings.repeatSlack_ = 64;
+    settings.checksPerSecond_ = 48;
+    settings.leaveLeast_ = Millis(2500);
+    settings.leaveRefuse_ = Millis(4200);
+    settings.leaveMost_ = Millis(5800);
+    return settings;
+}
+
+// A desired state with the routes "read" (idempotent) and "write" of the service "booking".
+inline TicketObject routing(std::uint64_t version)
+{
+    const auto route = [](const char *name, const char *prefix, bool idempotent, int priority) {
+        Route row;
+        row.name_ = ClassName(name);
+        row.host_ = "desk.example";
+        row.pathPrefix_ = prefix;
+        row.idempotent_ = idempotent;
+        row.timeout_ = Millis(1200);
+        row.latencyTarget_ = Millis(300);
+        row.priority_ = static_cast<std::uint8_t>(priority);
+        row.maxBackends_ = 2;
+        row.parts_ = {RoutePart{ServiceName("booking"), 1}};
+        return row;
+    };
+    RoutingSpec spec;
+    spec.routes_ = {route("read", "/read/", true, 2), route("write", "/write/", false, 1)};
+    spec.services_ = {RoutedService{ServiceName("booking"), "/health"}};
+    return TicketObject{"routing", TicketNumber(version), spec};
+}
+
+// A call of the route "read" or "write".
+inline FakeCall routedCall(const std::string &token, bool idempotent)
+{
+    FakeCall call;
+    call.token_ = token;
+    call.action_ = token;
+    call.class_ = idempotent ? "read" : "write";
+    call.terms_.routed_ = true;
+    call.terms_.idempotent_ = idempotent;
+    call.terms_.priority_ = idempotent ? 2 : 1;
+    call.terms_.maxBackends_ = 2;
+    call.terms_.timeout_ = Millis(1200);
+    call.terms_.latencyTarget_ = Millis(300);
+    return call;
+}
+
+// True when every running daemon serves by a version or a later one.
+inline bool allServeBy(FakeFleet &fleet, std::uint64_t version)
+{
+    return fleet.allHaveTicket(version);
+}
+
+// Puts the first desired state in place and lets the fleet find itself.
+inline void joinRouted(FakeFleet &fleet)
+{
+    fleet.store_.putRouting(routing(1));
+    fleet.runFor(Millis(4000));
+}
+
+} // namespace radishford
--- /dev/null
+++ b/test/route_test.cpp
@@ -0,0 +1,80 @@
+// Routes of the desired state: look-up by host and prefix, split by weight, whole replacement.
+#define BOOST_TEST_MODULE route
+#include "fake/routed_fleet.h"
+#include "ticket/route_func.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace radishford; // NOLINT: tests speak of nothing else
+
+namespace {
+
+// A route with one part.
+Route routeTo(const char *name, const char *host, const char *prefix)
+{
+    Route route;
+    route.name_ = ClassName(name);
+    route.host_ = host;
+    route.pathPrefix_ = prefix;
+    route.parts_ = {RoutePart{ServiceName(name), 1}};
+    return route;
+}
+
+// Name of the route that takes a request; empty when none does.
+std::string routeOf(const RouteTable &table, const char *host, const char *path)
+{
+    const Route *route = findRoute(table, host, path);
+    return route == nullptr ? std::string() : route->name_.value();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_of_the_host_wins)
+{
+    RoutingSpec spec;
+    spec.routes_
+        = {routeTo("all", "a.example", "/"), routeTo("deep", "a.example", "/x/y/"), routeTo("mid", "a.example", "/x/"), routeTo("other", "b.example", "/x/")};
+    RouteTable table;
+    indexRoutes(table, spec);
+    BOOST_TEST(routeOf(table, "a.example", "/x/y/1") == "deep");
+    BOOST_TEST(routeOf(table, "a.example", "/x/1") == "mid");
+    BOOST_TEST(routeOf(table, "a.example:8080", "/z") == "all");
+    BOOST_TEST(routeOf(table, "b.example", "/x/1") == "other");
+    BOOST_TEST(routeOf(table, "b.example", "/y") == "");
+    BOOST_TEST(routeOf(table, "c.example", "/x/1") == "");
+    // The query is no part of the path.
+    BOOST_TEST(routeOf(table, "b.example", "/?/x/") == "");
+    BOOST_TEST(routeOf(table, "a.example", "/x?/x/y/") == "all");
+}
+
+BOOST_AUTO_TEST_CASE(a_new_desired_state_replaces_all_routes)
+{
+    RoutingSpec spec;
+    spec.routes_ = {routeTo("old", "a.example", "/old/")};
+    RouteTable table;
+    indexRoutes(table, spec);
+    spec.routes_ = {routeTo("new", "a.example", "/new/")};
+    indexRoutes(table, spec);
+    BOOST_TEST(routeOf(table, "a.example", "/old/1") == "");
+    BOOST_TEST(routeOf(table, "a.example", "/new/1") == "new");
+}
+
+BOOST_AUTO_TEST_CASE(parts_get_their_weight)
+{
+    const std::vector<RoutePart> parts{{ServiceName("a"), 90}, {ServiceName("b"), 10}, {ServiceName("c"), 0}};
+    Random random(5);
+    std::map<std::string, int> drawn;
+    constexpr int Draws = 20000;
+    for (int draw = 0; draw < Draws; ++draw) {
+        ++drawn[drawService(parts, random).value()];
+    }
+    BOOST_TEST(std::abs(drawn["b"] / static_cast<double>(Draws) - 0.1) < 0.01);
+    BOOST_TEST(drawn["c"] == 0);
+}
+
+BOOST_AUTO_TEST_CASE(parts_without_any_weight_take_the_first)
+{
+    const std::vector<RoutePart> parts{{ServiceName("a"), 0}, {ServiceName("b"), 0}};
+    Random random(5);
+    BOOST_TEST(drawService(parts, random).value() == "a");
+}
--- /dev/null
+++ b/test/watch_test.cpp
@@ -0,0 +1,98 @@
+// The desired state reaches every daemon, through the store or through peers, and never goes back.
+#define BOOST_TEST_MODULE watch
+#include "fake/routed_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace radishford; // NOLINT: tests speak of nothing else
+
+namespace {
+
+constexpr std::size_t Instances = 12;
+// A change must be in force everywhere this long after its confirmation.
+constexpr Millis ApplyBound{2000};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_fresh_daemon_refuses_until_it_knows_a_desired_state)
+{
+    FakeFleet fleet(Instances, 1, routedSettings());
+    fleet.runFor(Millis(3000));
+    const std::size_t early = fleet.call(0, routedCall("early", true));
+    fleet.runFor(Millis(100));
+    BOOST_TEST((fleet.results_[early].failure_ == ResultCode::NotReady));
+    fleet.store_.putRouting(routing(7));
+    fleet.runFor(ApplyBound);
+    BOOST_TEST(allServeBy(fleet, 7));
+}
+
+BOOST_AUTO_TEST_CASE(a_change_is_in_force_everywhere_in_time)
+{
+    FakeFleet fleet(Instances, 2, routedSettings());
+    joinRouted(fleet);
+    fleet.store_.putRouting(routing(9));
+    fleet.runFor(Millis(300));
+    BOOST_TEST(allServeBy(fleet, 9));
+}
+
+BOOST_AUTO_TEST_CASE(daemons_that_cannot_reach_the_store_learn_from_peers)
+{
+    FakeFleet fleet(Instances, 3, routedSettings());
+    joinRouted(fleet);
+    // A third of the daemons is turned away by the store.
+    fleet.storeDownFor_ = {0, 1, 2, 3};
+    fleet.store_.putRouting(routing(12));
+    fleet.runFor(ApplyBound);
+    BOOST_TEST(allServeBy(fleet, 12));
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_restarted_beside_a_dead_store_serves_by_what_peers_have)
+{
+    FakeFleet fleet(Instances, 4, routedSettings());
+    joinRouted(fleet);
+    fleet.store_.down_ = true;
+    fleet.start(5);
+    fleet.runFor(Millis(3000));
+    // Peers still know its address from before and ping it.
+    BOOST_TEST(allServeBy(fleet, 1));
+}
+
+BOOST_AUTO_TEST_CASE(a_forgotten_history_is_read_anew)
+{
+    FakeFleet fleet(Instances, 5, routedSettings());
+    joinRouted(fleet);
+    fleet.store_.putRouting(routing(20));
+    fleet.store_.historyFrom_ = StoreRevision(fleet.store_.revision_.value() + 100);
+    fleet.runFor(Millis(500));
+    fleet.store_.historyFrom_ = StoreRevision();
+    fleet.runFor(Millis(500));
+    BOOST_TEST(allServeBy(fleet, 20));
+}
+
+BOOST_AUTO_TEST_CASE(an_older_desired_state_never_comes_back)
+{
+    FakeFleet fleet(Instances, 6, routedSettings());
+    joinRouted(fleet);
+    fleet.store_.putRouting(routing(30));
+    fleet.runFor(ApplyBound);
+    // A stale read shows the former one.
+    fleet.store_.putRouting(routing(2));
+    fleet.runFor(Millis(3000));
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        BOOST_TEST(fleet.world(index).tickets_.highest_.value() == 30U);
+        BOOST_TEST(fleet.world(index).tickets_.objects_.size() == 1U);
+        BOOST_TEST(fleet.world(index).tickets_.objects_.begin()->second.number_.value() == 30U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(lost_answers_do_not_stop_the_watch)
+{
+    FakeFleet fleet(Instances, 7, routedSettings());
+    joinRouted(fleet);
+    fleet.store_.losesAnswers_ = true;
+    fleet.store_.putRouting(routing(40));
+    fleet.runFor(Millis(4000));
+    fleet.store_.losesAnswers_ = false;
+    fleet.runFor(ApplyBound);
+    BOOST_TEST(allServeBy(fleet, 40));
+}
