--- a/src/call/gate_func.h
+++ b/src/call/gate_func.h
@@ -24,7 +24,7 @@
 };
 
 // Whether work may start now.
-GateState gateState(const World &world);
+GateState gateState(World &world);
 
 // Slots that routed requests may hold: servers slow down when nearly all are taken.
 Slots usableSlots(World &world);
--- a/src/call/gate_system.cpp
+++ b/src/call/gate_system.cpp
@@ -125,7 +125,7 @@
 
 } // namespace
 
-GateState gateState(const World &world)
+GateState gateState(World &world)
 {
     const LocalBackend &backend = world.admissions_.backend_;
     if (!canCheck(world)) {
@@ -136,8 +136,8 @@
     }
     const bool told = backend.slownessAt_ != Millis();
     const Millis age = world.now_ - backend.slownessAt_;
-    TokenBucket allowance = world.admissions_.checks_.allowance_;
-    const bool mayAsk = allowance.has(1, world.now_);
+    fillAllowance(world);
+    const bool mayAsk = world.admissions_.checks_.allowance_.has(1, world.now_);
     if (!told || age > (mayAsk ? FreshFor : UsableFor)) {
         return mayAsk || world.admissions_.checks_.running_ ? GateState::Unknown : GateState::Open;
     }
@@ -187,7 +187,6 @@
     if (checks.running_ || !canCheck(world)) {
         return;
     }
-    fillAllowance(world);
     if (checks.allowance_.take(1, world.now_)) {
         sendCheck(world);
     }
--- /dev/null
+++ b/test/platform_test.cpp
@@ -0,0 +1,276 @@
+// The platform's forms, translated: desired state, announcements, answers, settings, store calls, refusals.
+#define BOOST_TEST_MODULE platform
+#include "core/error.h"
+#include "fake/routed_fleet.h"
+#include "platform/config_json.h"
+#include "platform/dialect.h"
+
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace radishford; // NOLINT: tests speak of nothing else
+namespace json = boost::json;
+
+namespace {
+
+const char *const Config = R"({"version":"r12","routes":{"columns":["name","host","prefix","routeType","timeoutS","targetLatencyS","priority",
+"service","maxAttempts","trafficSplit"],"rows":[["w","a.example","/w/","unsafe",0.8,0.3,1,"one",2,null],
+["r","a.example","/r/","safe",1.2,0.3,2,null,3,[{"service":"one","weight":90},{"service":"two","weight":10}]],
+["u","a.example","/u/","upload",null,null,null,"two",null,null]]},
+"services":{"columns":["name","healthPath"],"rows":[["one","/health"],["two","/up"]]},
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutS":3,"idleTimeoutS":15},"baseVersion":"r5"})";
+
+const char *const Settings = R"({"nodeName":"n1","ip":"10.1.0.35","zone":"z-a","region":"z","zones":{"z-a":"z","y-a":"y"},
+"listenAddrs":{"inbound":"10.1.0.35:1","outbound":"10.1.0.35:2","ready":"10.1.0.35:3","control":"10.1.0.35:4"},"portRange":[7660,7675],
+"seeds":["10.1.0.9:4"],"heartbeatS":1.5,"bounds":["graceS=6","retryBudgetRatio=0.2","retryBudgetSlack=64","budgetWindowS=10","probesPerS=60"],
+"appAddr":"10.1.0.35:8147","service":"one","platform":{"address":"10.200.1.7:8142"},"fieldOfTomorrow":true})";
+
+// An answer's header with some fields.
+AnswerHeader answer(unsigned status, std::initializer_list<std::pair<const char *, const char *>> fields)
+{
+    AnswerHeader header;
+    header.result(status);
+    for (const auto &[name, value] : fields) {
+        header.insert(name, value);
+    }
+    return header;
+}
+
+// A call of a backend server.
+TextRequest call(const std::string &target, const std::string &body)
+{
+    return makeRequest(http::verb::post, target, body);
+}
+
+// Judges an answer to a request with the id "1".
+AnswerKind judge(const AnswerHeader &header)
+{
+    return platform::dialect().backend_.judge(header, {HeaderField{"Attempt-Id", "1"}});
+}
+
+// A world that serves by the desired state above.
+struct Served {
+    FakeFleet fleet_{1, 5, routedSettings()};
+
+    Served()
+    {
+        fleet_.store_.putRouting(platform::configFromJson(Config));
+        fleet_.runFor(Millis(1500));
+    }
+
+    CallIntake read(std::initializer_list<std::pair<const char *, const char *>> fields)
+    {
+        CallerHeader header;
+        header.method(http::verb::get);
+        header.target("/r/1");
+        for (const auto &[name, value] : fields) {
+            header.insert(name, value);
+        }
+        return platform::dialect().calls_.readCall(fleet_.world(0), header);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_desired_state_is_read_whole)
+{
+    const TicketObject object = platform::configFromJson(Config);
+    BOOST_TEST(object.number_.value() == 12U);
+    const auto &spec = std::get<RoutingSpec>(object.spec_);
+    BOOST_REQUIRE(spec.routes_.size() == 3U);
+    BOOST_TEST(!spec.routes_[0].idempotent_);
+    BOOST_TEST(spec.routes_[0].timeout_.count() == 800);
+    BOOST_TEST(spec.routes_[0].maxBackends_ == 2);
+    BOOST_TEST(spec.routes_[1].idempotent_);
+    BOOST_REQUIRE(spec.routes_[1].parts_.size() == 2U);
+    BOOST_TEST(spec.routes_[1].parts_[1].weight_ == 10);
+    BOOST_TEST(spec.routes_[1].latencyTarget_.count() == 300);
+    // Large bodies must not run twice.
+    BOOST_TEST(!spec.routes_[2].idempotent_);
+    BOOST_TEST(spec.routes_[2].streamed_);
+    BOOST_TEST(spec.services_[1].healthPath_ == "/up");
+    BOOST_TEST(spec.bounds_.maxBody_.value() == 1000);
+    BOOST_TEST(spec.bounds_.headerTimeout_.count() == 3000);
+}
+
+BOOST_AUTO_TEST_CASE(a_desired_state_that_cannot_be_read_says_what)
+{
+    const std::string text = Config;
+    const auto broken = [&](const std::string &from, const std::string &to) {
+        std::string changed = text;
+        changed.replace(changed.find(from), from.size(), to);
+        return changed;
+    };
+    BOOST_CHECK_THROW(platform::configFromJson("{"), Error);
+    BOOST_CHECK_THROW(platform::configFromJson("[]"), Error);
+    BOOST_CHECK_THROW(platform::configFromJson("{}"), Error);
+    BOOST_CHECK_THROW(platform::configFromJson(broken("\"r12\"", "12")), Error);
+    BOOST_CHECK_THROW(platform::configFromJson(broken("\"r12\"", "\"v12\"")), Error);
+    BOOST_CHECK_THROW(platform::configFromJson(broken("\"r12\"", "\"r12x\"")), Error);
+    BOOST_CHECK_THROW(platform::configFromJson(broken("0.8", "\"soon\"")), Error);
+    BOOST_CHECK_THROW(platform::configFromJson(broken("[{\"service\":\"one\",\"weight\":90}", "[{\"weight\":90}")), Error);
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_names_its_start_and_number)
+{
+    const std::string body = R"({"address":"10.128.0.9:8080","born":1700000000000,"info":{"service":"one","version":"v1","zone":"z","slots":17},
+"status":{"state":"draining","sequence":4,"coldRemainingS":0.5}})";
+    const Event event = platform::dialect().backend_.readAnnouncement(call("/Instances.Heartbeat/i-7f", body));
+    const auto &beat = std::get<BackendAnnounced>(event);
+    BOOST_TEST(beat.id_.value() == "i-7f");
+    BOOST_TEST(beat.incarnation_.value() == 1700000000000U);
+    BOOST_TEST(beat.sequence_ == 4U);
+    BOOST_TEST((beat.state_ == BackendState::Draining));
+    BOOST_TEST(beat.slots_.value() == 17);
+    const Event left = platform::dialect().backend_.readAnnouncement(call("/Instances.Deregister/i-7f", ""));
+    BOOST_TEST(std::get<BackendLeft>(left).id_.value() == "i-7f");
+}
+
+BOOST_AUTO_TEST_CASE(malformed_heartbeats_name_no_server)
+{
+    const auto &backend = platform::dialect().backend_;
+    for (const char *body : {"", "{", "[]", "{}", R"({"address":"x","info":{},"status":{}})",
+                             R"({"address":"10.0.0.1:1","info":{"service":7,"slots":1},"status":{"state":"ready","sequence":1}})",
+                             R"({"address":"10.0.0.1:1","info":{"service":"a","slots":0},"status":{"state":"ready","sequence":1}})",
+                             R"({"address":"10.0.0.1:1","info":{"service":"a","slots":1},"status":{"state":"odd","sequence":1}})",
+                             R"({"address":"10.0.0.1:1","info":{"service":"a","slots":1},"status":{"state":"ready","sequence":"1"}})",
+                             R"({"address":"10.0.0.1:1","born":1.5,"info":{"service":"a","slots":1},"status":{"state":"ready","sequence":1}})"}) {
+        BOOST_CHECK_THROW(backend.readAnnouncement(call("/Instances.Heartbeat/i", body)), Error);
+    }
+    BOOST_CHECK_THROW(backend.readAnnouncement(call("/elsewhere", "{}")), Error);
+    BOOST_CHECK_THROW(backend.readAnnouncement(makeRequest(http::verb::get, "/Instances.Heartbeat/i")), Error);
+}
+
+BOOST_AUTO_TEST_CASE(only_the_requests_own_signed_answer_is_passed_on)
+{
+    BOOST_TEST((judge(answer(200, {{"Attempt-Id", "1"}, {"Response-Signature", "s"}})) == AnswerKind::Own));
+    BOOST_TEST((judge(answer(500, {{"Attempt-Id", "1"}, {"Response-Signature", "s"}})) == AnswerKind::Own));
+    BOOST_TEST((judge(answer(200, {{"Attempt-Id", "2"}, {"Response-Signature", "s"}})) == AnswerKind::Stale));
+    BOOST_TEST((judge(answer(200, {{"Attempt-Id", "1"}})) == AnswerKind::Spoiled));
+    BOOST_TEST((judge(answer(200, {{"Response-Signature", "s"}})) == AnswerKind::Spoiled));
+    BOOST_TEST((judge(answer(200, {{"Attempt-Id", "1"}, {"Response-Signature", "s"}, {"Content-Encoding", "gzip"}})) == AnswerKind::Spoiled));
+    BOOST_TEST((judge(answer(200, {{"Attempt-Id", "1"}, {"Response-Signature", "s"}, {"Response-Signature", "t"}})) == AnswerKind::Spoiled));
+    BOOST_TEST((judge(answer(503, {{"Attempt-Id", "1"}, {"Not-Executed", "1"}})) == AnswerKind::Refused));
+    BOOST_TEST((judge(answer(421, {{"Instance-Id", "other"}})) == AnswerKind::WrongInstance));
+    // A failure without the word that it was not run promises nothing.
+    BOOST_TEST((judge(answer(503, {{"Attempt-Id", "1"}})) == AnswerKind::Spoiled));
+}
+
+BOOST_AUTO_TEST_CASE(load_figures_are_read_as_far_as_they_go)
+{
+    const auto &backend = platform::dialect().backend_;
+    const BackendLoad full = backend.loadOf(answer(200, {{"Server-Load", "3,1,12,500"}}));
+    BOOST_TEST(full.running_.value() == 3);
+    BOOST_TEST(full.waiting_.value() == 1);
+    BOOST_TEST(full.slots_.value() == 12);
+    BOOST_TEST(full.slowness_.value() == 500);
+    BOOST_TEST(backend.loadOf(answer(200, {{"Server-Load", "3,0,8"}})).slowness_.value() == 0);
+    BOOST_TEST(backend.loadOf(answer(200, {})).slots_.value() == 0);
+    BOOST_TEST(backend.loadOf(answer(200, {{"Server-Load", "x"}})).slots_.value() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(the_settings_file_gives_what_the_product_needs)
+{
+    const DaemonSettings settings = platform::parseSettings(Settings);
+    BOOST_TEST(settings.world_.routed_);
+    BOOST_TEST(toText(settings.world_.address_) == "10.1.0.35:7660");
+    BOOST_TEST(toText(settings.callerAddress_) == "10.1.0.35:2");
+    BOOST_TEST(toText(settings.world_.adminAddress_) == "10.1.0.35:3");
+    BOOST_TEST(toText(settings.announceAddress_) == "10.1.0.35:4");
+    BOOST_TEST(toText(settings.storeAddress_) == "10.200.1.7:8142");
+    BOOST_TEST(toText(settings.world_.backendAddress_) == "10.1.0.35:8147");
+    BOOST_REQUIRE(settings.world_.seeds_.size() == 1U);
+    BOOST_TEST(toText(settings.world_.seeds_.front()) == "10.1.0.9:7660");
+    BOOST_TEST(settings.world_.repeatSlack_ == 64);
+    BOOST_TEST(settings.world_.checksPerSecond_ == 48.0);
+    BOOST_TEST((settings.world_.leaveMost_ < Millis(6000)));
+}
+
+BOOST_AUTO_TEST_CASE(settings_that_cannot_be_read_name_the_key)
+{
+    const std::string text = Settings;
+    for (const char *key : {"nodeName", "zones", "zone", "listenAddrs", "portRange", "appAddr", "platform", "ip"}) {
+        std::string changed = text;
+        changed.replace(changed.find("\"" + std::string(key) + "\""), std::string(key).size() + 2, "\"gone\"");
+        BOOST_CHECK_THROW(platform::parseSettings(changed), Error);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(fields_that_the_system_sets_are_not_taken_from_callers)
+{
+    Served served;
+    const CallIntake intake = served.read({{"Host", "a.example"},
+                                           {"Attempt-Id", "1"},
+                                           {"Deadline-Ms", "700"},
+                                           {"Caller-Service", "forged"},
+                                           {"Expect-Instance", "forged"},
+                                           {"X-Own", "kept"},
+                                           {"Connection", "x-hop"},
+                                           {"X-Hop", "dropped"}});
+    BOOST_TEST((intake.code_ == ResultCode::Ok));
+    BOOST_TEST(intake.event_.timeout_.count() == 700);
+    const auto has = [&](const char *name) {
+        return std::count_if(intake.fields_.begin(), intake.fields_.end(), [&](const HeaderField &field) { return beast::iequals(field.name_, name); });
+    };
+    BOOST_TEST(has("Deadline-Ms") == 0);
+    BOOST_TEST(has("Expect-Instance") == 0);
+    BOOST_TEST(has("X-Hop") == 0);
+    BOOST_TEST(has("X-Own") == 1);
+    BOOST_TEST(has("Attempt-Id") == 1);
+    BOOST_REQUIRE(has("Caller-Service") == 1);
+    BOOST_TEST(intake.fields_.back().value_ == "booking");
+}
+
+BOOST_AUTO_TEST_CASE(requests_that_no_route_takes_are_told_so)
+{
+    Served served;
+    BOOST_TEST((served.read({{"Host", "b.example"}, {"Attempt-Id", "1"}}).code_ == ResultCode::NoRoute));
+    BOOST_TEST((served.read({{"Host", "a.example"}}).code_ == ResultCode::BadRequest));
+    BOOST_TEST((served.read({{"Host", "a.example"}, {"Host", "b.example"}, {"Attempt-Id", "1"}}).code_ == ResultCode::BadRequest));
+    BOOST_TEST((served.read({{"Host", "a.example"}, {"Attempt-Id", "1"}, {"Attempt-Id", "2"}}).code_ == ResultCode::BadRequest));
+    FakeFleet fresh(1, 6, routedSettings());
+    CallerHeader header;
+    header.insert("Host", "a.example");
+    BOOST_TEST((platform::dialect().calls_.readCall(fresh.world(0), header).code_ == ResultCode::NotReady));
+}
+
+BOOST_AUTO_TEST_CASE(refusals_promise_only_what_is_true)
+{
+    const auto &calls = platform::dialect().calls_;
+    for (const ResultCodeInfo &info : {infoOf(ResultCode::Overloaded), infoOf(ResultCode::DeadlineNotRun), infoOf(ResultCode::Quarantined),
+                                       infoOf(ResultCode::AnswerLost), infoOf(ResultCode::DeadlineUnknown), infoOf(ResultCode::AnswerSpoiled)}) {
+        CallFailure failure;
+        failure.code_ = info.code_;
+        failure.retryAfter_ = Millis(250);
+        const TextResponse response = calls.failure(failure);
+        const bool promises = response.result_int() == 503;
+        BOOST_TEST(promises == (info.outcome_ == Outcome::NotRun), info.name_);
+        BOOST_TEST((response.count(http::field::retry_after) == 1) == promises, info.name_);
+    }
+    CallFailure unknown;
+    unknown.code_ = ResultCode::NoRoute;
+    BOOST_TEST(calls.failure(unknown).result_int() == 404U);
+}
+
+BOOST_AUTO_TEST_CASE(store_calls_carry_rows_both_ways)
+{
+    const auto &store = platform::dialect().store_;
+    const TextRequest put = store.encode(MemberPut{MemberRow{InstanceName("n1"), parseAddress("10.0.0.1:7660")}});
+    const json::object body = json::parse(put.body()).get_object();
+    const json::value &row = body.at("writes").get_array().at(0);
+    const std::string value(row.at("value").as_string());
+    const json::object rows{{"rows", json::array{json::object{{"table", "daemons"}, {"part", ""}, {"key", "n1"}, {"value", value}, {"ver", 3}}}},
+                            {"hasMore", false},
+                            {"ver", 9},
+                            {"nowS", 1.5}};
+    const StoreAnswer answer = store.decode(MemberList{}, makeResponse(200, "application/json", json::serialize(rows)));
+    BOOST_TEST(answer.ok_);
+    BOOST_TEST(answer.revision_.value() == 9U);
+    BOOST_REQUIRE(answer.members_.size() == 1U);
+    BOOST_TEST(toText(answer.members_.front().address_) == "10.0.0.1:7660");
+    BOOST_TEST(store.decode(RoutingWatch{}, makeResponse(410, "", "")).historyGone_);
+    BOOST_TEST(!store.decode(RoutingRead{}, makeResponse(503, "", "")).ok_);
+    BOOST_TEST(!store.decode(RoutingRead{}, makeResponse(429, "", "")).ok_);
+    BOOST_CHECK_THROW(store.decode(RoutingRead{}, makeResponse(200, "", "{")), Error);
+    BOOST_CHECK_THROW(store.encode(TicketRead{}), Error);
+}
--- /dev/null
+++ b/test/repeat_test.cpp
@@ -0,0 +1,65 @@
+// The budget of repeats: the sum over the fleet holds in every sliding window, also while some daemons know few others.
+#define BOOST_TEST_MODULE repeat
+#include "fake/routed_fleet.h"
+#include "measure/repeat_func.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+using namespace radishford; // NOLINT: tests speak of nothing else
+
+namespace {
+
+constexpr std::size_t Daemons = 16;
+const ServiceName Service("booking");
+
+} // namespace
+
+RC_BOOST_PROP(repeats_stay_within_the_share_and_the_fixed_number, ())
+{
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const auto callsPerStep = *rc::gen::inRange(0, 4);
+    const auto triesPerStep = *rc::gen::inRange(1, 6);
+    FakeFleet fleet(Daemons, seed, routedSettings());
+    joinRouted(fleet);
+    Random random(seed);
+    std::vector<Millis> calls;
+    std::vector<Millis> repeats;
+    constexpr int Steps = 600;
+    for (int step = 0; step < Steps; ++step) {
+        fleet.runFor(Millis(50));
+        for (int call = 0; call < callsPerStep; ++call) {
+            noteCall(fleet.world(random.below(Daemons)), Service);
+            calls.push_back(fleet.now());
+        }
+        for (int attempt = 0; attempt < triesPerStep; ++attempt) {
+            if (takeRepeat(fleet.world(random.below(Daemons)), Service)) {
+                repeats.push_back(fleet.now());
+            }
+        }
+    }
+    const WorldSettings settings = routedSettings();
+    for (const Millis end : repeats) {
+        const auto within = [&](Millis time) { return time > end - settings.repeatWindow_ && time <= end; };
+        const auto asked = std::count_if(calls.begin(), calls.end(), within);
+        const auto repeated = std::count_if(repeats.begin(), repeats.end(), within);
+        RC_ASSERT(static_cast<double>(repeated) <= 0.2 * static_cast<double>(asked) + settings.repeatSlack_);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(offers_that_no_server_has_seen_cost_nothing)
+{
+    FakeFleet fleet(Daemons, 3, routedSettings());
+    joinRouted(fleet);
+    for (std::size_t index = 1; index < Daemons; ++index) {
+        // All servers but one take nothing.
+        fleet.instances_[index].announces_ = BackendState::Draining;
+    }
+    fleet.runFor(Millis(1000));
+    for (int number = 0; number < 60; ++number) {
+        fleet.call(5, routedCall("call" + std::to_string(number), false));
+        fleet.runFor(Millis(20));
+    }
+    fleet.runFor(Millis(2000));
+    BOOST_TEST(fleet.world(5).repeats_.rows_[Service].repeats_.empty());
+}
