Structured log lines for decisions on requests; a request has one name on all daemons

Cause: after a failure only changes of state were in the log, on standard error, and nothing led from a request to its cause. Change: a line in JSON on standard output for each failed call, ended attempt, repeat and refused admission (but for want of room), and for one answered call in 64, drawn by a hash of its id, the same on both machines; lines never block, are limited to 50 a second, and dropped ones are counted in a line and a metric. The client's id names the trace.

--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -5,6 +5,7 @@
 #include "call/suspect_func.h"
 #include "store/claim_func.h"
 #include "ticket/ticket_func.h"
+#include "world/decision_log.h"
 #include "world/world.h"
 
 #include <algorithm>
@@ -198,6 +199,7 @@
 // Refuses an offer.
 void refuse(World &world, const OfferArrived &event, ResultCode code)
 {
+    logAdmissionEnded(world, event.offer_, code);
     world.counters_.add(Counter::Refused);
     ++world.counters_.results_[code];
     if (code == ResultCode::Quarantined) {
@@ -642,6 +644,7 @@
     row.handedOverAt_ = world.now_;
     row.startedNearFull_ = isNearFull(world);
     row.startSlowness_ = world.admissions_.backend_.slowness_;
+    logHandOver(world, row);
     world.counters_.add(Counter::HandedOver);
     const LocalBackend &backend = world.admissions_.backend_;
     world.emit(HandOver{row.exchange_, backend.address_, backend.id_, row.deadline_ - world.now_});
@@ -650,6 +653,7 @@
 void failAdmission(World &world, AdmissionId id, ResultCode code)
 {
     const Admission row = *world.admissions_.rows_.get(id);
+    logAdmissionEnded(world, row.offer_, code);
     ++world.counters_.results_[code];
     if (provesNotRun(code)) {
         removeNotRun(world, id, code);
--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -4,6 +4,7 @@
 #include "call/suspect_func.h"
 #include "fleet/instance_func.h"
 #include "measure/choose_func.h"
+#include "world/decision_log.h"
 #include "world/world.h"
 
 #include <algorithm>
@@ -338,6 +339,7 @@
     attempt.startedAt_ = world.now_;
     attempt.isRetry_ = call.attemptsStarted_ > 0;
     attempt.span_ = drawSpan(world);
+    logRepeat(world, call, attempt);
     const AttemptId id = world.calls_.attempts_.create(attempt);
     call.attempts_.push_back(id);
     ++call.attemptsStarted_;
@@ -361,6 +363,7 @@
         --instance->outstanding_;
     }
     Call &call = *world.calls_.calls_.get(attempt.call_);
+    logAttemptEnded(world, call, attempt, code);
     std::erase(call.attempts_, id);
     world.emit(EndSpan{call.trace_, attempt.span_, call.span_, "attempt", attempt.instanceName_.value(), attempt.startedAt_, world.now_, code});
     if (drop) {
@@ -456,6 +459,7 @@
     noteReport(world, *attempt, event.report_);
     ++world.counters_.results_[ResultCode::Ok];
     const CallId call = attempt->call_;
+    logCallAnswered(world, *world.calls_.calls_.get(call), *attempt);
     endAttempt(world, event.attempt_, ResultCode::Ok, false);
     removeCall(world, call, ResultCode::Ok);
 }
--- a/src/call/call_cmd.cpp
+++ b/src/call/call_cmd.cpp
@@ -8,6 +8,7 @@
 #include "measure/repeat_func.h"
 #include "ticket/route_func.h"
 #include "ticket/ticket_func.h"
+#include "world/decision_log.h"
 #include "world/shutdown_func.h"
 #include "world/world.h"
 
@@ -319,6 +320,7 @@
     // A call that may have run is never said to be "not run".
     const bool maybeRan = call->maybeRan_ || anyMayRun(world, *call);
     const ResultCode honest = maybeRan && provesNotRun(code) ? ResultCode::AnswerLost : code;
+    logCallFailed(world, *call, honest);
     reportFailure(world, call->handle_, honest, call->trace_);
     removeCall(world, id, honest);
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -168,6 +168,11 @@
     logChange(effect.text_);
 }
 
+void Daemon::on(const LogDecision &effect)
+{
+    logDecision(effect, Engine::now());
+}
+
 void Daemon::on(const EndSpan &effect)
 {
     engine_.spans().add(effect);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -52,6 +52,7 @@
     void on(const SendStore &effect);
     void on(const ReplyTicket &effect);
     void on(const LogChange &effect);
+    void on(const LogDecision &effect);
     void on(const EndSpan &effect);
     void on(const Exit &effect);
 
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -1,6 +1,8 @@
 // Counters as metrics and reports.
 #include "daemon/metrics.h"
 
+#include "daemon/log.h"
+
 #include "fleet/instance_func.h"
 #include "table/counter_names.h"
 #include "wire/ticket_json.h"
@@ -70,6 +72,7 @@
 // Sizes of tables now.
 void addGauges(std::string &text, const World &world)
 {
+    addLine(text, "log_lines_dropped_total", droppedLogLines());
     addLine(text, "ticket", world.tickets_.highest_.value());
     addLine(text, "current", world.tickets_.current_ ? 1 : 0);
     addLine(text, "calls", world.calls_.calls_.size());
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -44,6 +44,9 @@
     event.mayRide_ = request.isBuffered() && request.bufferedBody().size() <= RideBytes;
     event.bodySize_ = Bytes(static_cast<std::int64_t>(head.length_));
     event.fingerprint_ = fingerprintOf(head, request);
+    if (!event.trace_.value().empty()) {
+        return;
+    }
     const TraceContext context = readTraceParent(traceParent, drawBits(), drawBits());
     event.trace_ = context.trace_;
     event.parentSpan_ = context.parent_;
--- a/src/ticket/watch_system.cpp
+++ b/src/ticket/watch_system.cpp
@@ -56,10 +56,16 @@
     watch.request_ = 0;
     watch.nextAt_ = world.now_;
     if (!answer.ok_) {
+        if (watch.failures_ == 0) {
+            world.emit(LogChange{"store lost: " + std::string(watch.watching_ ? "watch" : "read") + " without an answer"});
+        }
         world.counters_.add(Counter::StoreFailures);
         backOff(world);
         return true;
     }
+    if (watch.failures_ > 0) {
+        world.emit(LogChange{"store regained after " + std::to_string(watch.failures_) + " failures"});
+    }
     watch.failures_ = 0;
     if (answer.historyGone_) {
         watch.known_ = false;
--- a/src/world/effect_type.h
+++ b/src/world/effect_type.h
@@ -9,6 +9,7 @@
 #include "store/store_type.h"
 
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -146,6 +147,20 @@
     std::string text_;
 };
 
+// One input of a decision.
+struct LogField {
+    std::string_view name_;
+    std::string value_;
+};
+
+// Write a log line about a decision on a request.
+struct LogDecision {
+    std::string_view event_;
+    // The request's trace, which names it on all daemons.
+    TraceId request_;
+    std::vector<LogField> fields_;
+};
+
 // One span of a trace has ended.
 struct EndSpan {
     TraceId trace_;
@@ -164,9 +179,9 @@
 };
 
 // Any effect.
-using Effect
-    = std::variant<StartExchange, SendGo, SendWithdraw, DropExchange, RelayAnswer, FailCall, AbortCall, ReplyOffer, ReplyWithdraw, HandOver, FailExchange,
-                   EndExchange, CancelBackend, CheckBackend, SendDatagram, SendTicketPull, SendTicketBatch, SendStore, ReplyTicket, LogChange, EndSpan, Exit>;
+using Effect = std::variant<StartExchange, SendGo, SendWithdraw, DropExchange, RelayAnswer, FailCall, AbortCall, ReplyOffer, ReplyWithdraw, HandOver,
+                            FailExchange, EndExchange, CancelBackend, CheckBackend, SendDatagram, SendTicketPull, SendTicketBatch, SendStore, ReplyTicket,
+                            LogChange, LogDecision, EndSpan, Exit>;
 
 // Effects in the order in which they must be carried out.
 using Outbox = std::vector<Effect>;
--- a/test/fake/fake_effects.cpp
+++ b/test/fake/fake_effects.cpp
@@ -230,6 +230,10 @@
 {
 }
 
+void FakeFleet::apply(std::size_t /*index*/, const LogDecision & /*effect*/)
+{
+}
+
 void FakeFleet::apply(std::size_t /*index*/, const EndSpan & /*effect*/)
 {
 }
--- a/test/fake/fake_fleet.h
+++ b/test/fake/fake_fleet.h
@@ -231,6 +231,7 @@
     void apply(std::size_t index, const SendStore &effect);
     void apply(std::size_t index, const ReplyTicket &effect);
     void apply(std::size_t index, const LogChange &effect);
+    void apply(std::size_t index, const LogDecision &effect);
     void apply(std::size_t index, const EndSpan &effect);
     void apply(std::size_t index, const Exit &effect);
 
