--- a/src/call/call_cmd.cpp
+++ b/src/call/call_cmd.cpp
@@ -165,7 +165,7 @@
     ++call.rounds_;
     const double grown = RoundWait.fraction() * std::min(call.rounds_, MostRounds);
     const double drawn = grown * (0.75 + world.random_.unit() / 2);
-    world.timers_.add(world.now_ + Millis(static_cast<std::int64_t>(drawn)), TimerKind::CallRetry, id.packed());
+    world.timers_.add(world.now_ + Millis::fromFraction(drawn), TimerKind::CallRetry, id.packed());
 }
 
 // No backend server can be asked now: waits, or gives up.
--- a/src/call/gate_system.cpp
+++ b/src/call/gate_system.cpp
@@ -165,7 +165,7 @@
 void noteWork(World &world, const Admission &row)
 {
     const double slowness = std::max(1.0, row.startSlowness_.value() / PercentScale);
-    const Millis work = Millis::fromMicros(static_cast<std::int64_t>((world.now_ - row.handedOverAt_).micros() / slowness));
+    const Millis work = Millis::fromFraction((world.now_ - row.handedOverAt_).fraction() / slowness);
     const auto [entry, added] = world.admissions_.usualWork_.try_emplace(row.offer_.class_, work);
     if (row.startedNearFull_ && entry->second > Millis()) {
         noteNearFull(world, work.fraction() / entry->second.fraction());
--- a/src/core/clock_type.h
+++ b/src/core/clock_type.h
@@ -28,6 +28,12 @@
         return result;
     }
 
+    // Milliseconds with their fraction.
+    static constexpr Millis fromFraction(double milliseconds)
+    {
+        return fromMicros(static_cast<std::int64_t>(milliseconds * static_cast<double>(MicrosPerMilli)));
+    }
+
     // A moment later than every other one.
     static constexpr Millis never()
     {
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -39,8 +39,8 @@
 
 LogState &state()
 {
-    static LogState State;
-    return State;
+    static LogState log;
+    return log;
 }
 
 // The process's logger.
--- a/src/fleet/directory_system.cpp
+++ b/src/fleet/directory_system.cpp
@@ -30,7 +30,7 @@
     ++directory.failures_;
     const Millis longest = std::min(LongestRetry, FirstRetry * (std::int64_t{1} << doublings));
     const double drawn = longest.fraction() * (0.5 + world.random_.unit() / 2);
-    directory.nextAt_ = world.now_ + Millis(static_cast<std::int64_t>(drawn));
+    directory.nextAt_ = world.now_ + Millis::fromFraction(drawn);
 }
 
 // Contacts daemons that are not known yet, from a random row on.
--- a/src/ticket/watch_system.cpp
+++ b/src/ticket/watch_system.cpp
@@ -28,7 +28,7 @@
     ++watch.failures_;
     const Millis longest = std::min(LongestRetry, FirstRetry * (std::int64_t{1} << doublings));
     const double drawn = longest.fraction() * (0.5 + world.random_.unit() / 2);
-    watch.nextAt_ = world.now_ + Millis(static_cast<std::int64_t>(drawn));
+    watch.nextAt_ = world.now_ + Millis::fromFraction(drawn);
 }
 
 // Brings what the store answered into force, unless something newer already is.
--- a/src/world/shutdown.cpp
+++ b/src/world/shutdown.cpp
@@ -49,7 +49,7 @@
 bool refusesCalls(const World &world)
 {
     const WorldSettings &settings = world.settings_;
-    return isLeaving(world) && (settings.leaveRefuse_ == Millis::never() || world.now_ >= world.leavingSince_ + settings.leaveRefuse_);
+    return world.exited_ || (isLeaving(world) && (settings.leaveRefuse_ == Millis::never() || world.now_ >= world.leavingSince_ + settings.leaveRefuse_));
 }
 
 void handle(World &world, const ShutdownAsked & /*event*/)
--- a/test/fake/fake_fleet.cpp
+++ b/test/fake/fake_fleet.cpp
@@ -166,6 +166,15 @@
     return number;
 }
 
+void FakeFleet::callAtExited(std::size_t index, const CallArrived &event)
+{
+    madeAt_[event.handle_.value() - 1] = index;
+    CallArrived routed = event;
+    routed.service_ = ServiceName(service_);
+    routed.terms_ = CallTerms{true, true, false, 0, 1, Millis(1000), Millis(300)};
+    tick(index, {routed});
+}
+
 std::size_t FakeFleet::submit(std::size_t index, const Ticket &ticket)
 {
     ticketResults_.emplace_back();
--- a/test/fake/fake_fleet.h
+++ b/test/fake/fake_fleet.h
@@ -129,6 +129,9 @@
     // Makes a call through an instance.
     std::size_t call(std::size_t index, const FakeCall &call);
 
+    // Posts a call to a daemon that has decided to end but whose process still runs.
+    void callAtExited(std::size_t index, const CallArrived &event);
+
     // Submits a ticket through an instance; the result is in ticketResults_.
     std::size_t submit(std::size_t index, const Ticket &ticket);
 
--- a/test/routed_leaving_test.cpp
+++ b/test/routed_leaving_test.cpp
@@ -58,6 +58,31 @@
     BOOST_TEST(fleet.instances_[2].exited_);
 }
 
+// Found by a hunt on yukiguni-mesh (trouble-1, seed 483560469666): in the moment between the decision to end and the end of the process
+// a call was still sent to a backend server, and cut.
+BOOST_AUTO_TEST_CASE(a_call_that_comes_after_the_decision_to_end_is_refused)
+{
+    FakeFleet fleet(Instances, 64, routedSettings());
+    joinRouted(fleet);
+    fleet.post(2, ShutdownAsked{});
+    fleet.runFor(routedSettings().leaveLeast_ + Millis(500));
+    BOOST_REQUIRE(fleet.instances_[2].exited_);
+    bool refused = false;
+    bool offered = false;
+    fleet.watch_ = [&](std::size_t index, const Effect &effect) {
+        const auto *failure = std::get_if<FailCall>(&effect);
+        refused = refused || (index == 2 && failure != nullptr && failure->code_ == ResultCode::DaemonLeaving);
+        offered = offered || (index == 2 && std::holds_alternative<StartExchange>(effect));
+    };
+    CallArrived late;
+    late.handle_ = CallHandle(fleet.calls_.size() + 1);
+    fleet.calls_.emplace_back();
+    fleet.results_.emplace_back();
+    fleet.callAtExited(2, late);
+    BOOST_TEST(refused);
+    BOOST_TEST(!offered);
+}
+
 BOOST_AUTO_TEST_CASE(changed_settings_come_into_force)
 {
     FakeFleet fleet(1, 63, routedSettings());
