--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -117,6 +117,17 @@
     BOOST_TEST(spec.requestLimits_.headerTimeout_.count() == 3000);
 }
 
+BOOST_AUTO_TEST_CASE(only_safe_and_download_routes_may_run_again)
+{
+    const std::vector<std::pair<std::string, bool>> cases{{"safe", true},    {"download", true}, {"unsafe", false},
+                                                          {"upload", false}, {"", false},        {"odd", false}};
+    for (const auto &[type, isIdempotent] : cases) {
+        const TicketObject object = platform::parseDesiredState(R"({"version":"r1","routes":{"columns":["host","prefix","routeType","service"],
+"rows":[["a.example","/d/",")" + type + R"(","one"]]},"services":{"columns":["name"],"rows":[["one"]]}})");
+        BOOST_TEST(std::get<RoutingSpec>(object.spec_).routes_.at(0).isIdempotent_ == isIdempotent, type);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_invalid_desired_state_is_rejected)
 {
     const std::string text = Config;
