Callers: requests of a pipeline run beside each other

A connection served one request after the other, so each pipelined request waited for all before it. Safe requests without a body are now read while earlier ones are served, up to limits.pipelined_requests; their responses leave in the order of the requests. Any other request waits for those before it and delays those behind it. When the caller leaves, or a response announces the end of the connection, all that is behind is cancelled. A response that is not due yet stays in the sockets of its exchange, so that a slow first request buffers nothing.

--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -53,6 +53,7 @@
 {
     addLine(text, "bad_messages_total", frontEndCounters.badMessages_);
     addLine(text, "bad_requests_total", frontEndCounters.badRequests_);
+    addLine(text, "pipelined_requests_total", frontEndCounters.pipelinedRequests_);
     addLine(text, "refused_connections_total", frontEndCounters.refusedConnections_);
     addLine(text, "exchange_bytes_total{purpose=\"call\"}", frontEndCounters.callBytes_);
     addLine(text, "exchange_bytes_total{purpose=\"retry\"}", frontEndCounters.retryBytes_);
--- a/src/net/caller_request.cpp
+++ b/src/net/caller_request.cpp
@@ -17,10 +17,10 @@
 
 } // namespace
 
-CallerRequest::CallerRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, Parser &parser, CallHandle handle)
+CallerRequest::CallerRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::unique_ptr<Parser> parser, CallHandle handle)
     : stream_(stream)
     , buffer_(buffer)
-    , parser_(parser)
+    , parser_(std::move(parser))
     , handle_(handle)
     , stateChanged_(stream.get_executor())
 {
@@ -28,12 +28,12 @@
 
 Task<ResultCode> CallerRequest::bufferBody(std::uint64_t limit, std::uint64_t maxBuffered)
 {
-    const auto length = parser_.content_length();
+    const auto length = parser_->content_length();
     if (length && *length > limit) {
         co_return ResultCode::BodyTooLarge;
     }
     isBuffering_ = true;
-    while (!parser_.is_done() && body_.size() <= maxBuffered) {
+    while (!parser_->is_done() && body_.size() <= maxBuffered) {
         const std::optional<std::string> chunk = co_await readFromStream();
         if (interruption_) {
             co_return *interruption_;
@@ -47,7 +47,7 @@
         }
     }
     isBuffering_ = false;
-    buffered_ = parser_.is_done();
+    buffered_ = parser_->is_done();
     co_return ResultCode::Ok;
 }
 
@@ -71,7 +71,7 @@
 
 bool CallerRequest::mayKeepAlive() const
 {
-    return parser_.is_done() && parser_.keep_alive() && !closeAfterResponse_;
+    return parser_->is_done() && parser_->keep_alive() && !closeAfterResponse_;
 }
 
 Millis CallerRequest::retryAfter() const
@@ -104,7 +104,7 @@
     if (finished_) {
         co_return std::nullopt;
     }
-    if (parser_.is_done()) {
+    if (parser_->is_done()) {
         co_return std::string();
     }
     const PendingOperation operation(*this);
@@ -114,12 +114,12 @@
         co_return std::nullopt;
     }
     std::string chunk(MaxChunkBytes, '\0');
-    auto &body = parser_.get().body();
+    auto &body = parser_->get().body();
     body.data = chunk.data();
     body.size = chunk.size();
     stream_.expires_after(StallTimeout);
     error_code errorCode;
-    co_await http::async_read_some(stream_, buffer_, parser_, asio::redirect_error(asio::use_awaitable, errorCode));
+    co_await http::async_read_some(stream_, buffer_, *parser_, asio::redirect_error(asio::use_awaitable, errorCode));
     stream_.expires_never();
     if (errorCode && errorCode != http::error::need_buffer) {
         co_return std::nullopt;
@@ -130,7 +130,7 @@
         co_return std::nullopt;
     }
     remainingBytes_ -= chunk.size();
-    if (chunk.empty() && !parser_.is_done()) {
+    if (chunk.empty() && !parser_->is_done()) {
         co_return co_await readFromStream();
     }
     co_return chunk;
@@ -138,7 +138,7 @@
 
 Task<> CallerRequest::sendContinue()
 {
-    const bool expected = beast::iequals(parser_.get()[http::field::expect], "100-continue");
+    const bool expected = beast::iequals(parser_->get()[http::field::expect], "100-continue");
     if (!expected || continueSent_) {
         co_return;
     }
@@ -151,7 +151,7 @@
 
 Task<bool> CallerRequest::writeHead(const ResponseHead &head)
 {
-    if (finished_) {
+    if (!co_await mayWrite()) {
         co_return false;
     }
     const PendingOperation operation(*this);
@@ -209,7 +209,7 @@
 {
     constexpr std::uint16_t NoContent = 204;
     constexpr std::uint16_t NotModified = 304;
-    return parser_.get().method() != http::verb::head && status != NoContent && status != NotModified;
+    return parser_->get().method() != http::verb::head && status != NoContent && status != NotModified;
 }
 
 Task<bool> CallerRequest::writeResponse(HttpResponse response)
@@ -248,19 +248,45 @@
     }
 }
 
-beast::tcp_stream &CallerRequest::stream()
+void CallerRequest::grantTurn()
+{
+    hasTurn_ = true;
+    stateChanged_.notify();
+}
+
+Task<> CallerRequest::waitForTurn()
+{
+    while (!hasTurn_) {
+        co_await stateChanged_.wait();
+    }
+}
+
+Task<bool> CallerRequest::mayWrite()
+{
+    while (!hasTurn_ && !finished_) {
+        co_await stateChanged_.wait();
+    }
+    co_return !finished_;
+}
+
+const http::request_header<> &CallerRequest::header() const
+{
+    return parser_->get();
+}
+
+bool CallerRequest::allowsReadingAhead() const
 {
-    return stream_;
+    return mayKeepAlive();
 }
 
 RequestHead CallerRequest::head() const
 {
-    const auto &message = parser_.get();
+    const auto &message = parser_->get();
     RequestHead head;
     head.method_ = std::string(message.method_string());
     head.target_ = std::string(message.target());
     head.fields_ = fields_;
-    const auto length = parser_.content_length();
+    const auto length = parser_->content_length();
     head.hasLength_ = buffered_ || length.has_value();
     head.length_ = buffered_ ? body_.size() : length.value_or(0);
     return head;
--- a/src/net/caller_request.h
+++ b/src/net/caller_request.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -25,7 +26,19 @@
     using Parser = http::request_parser<http::buffer_body>;
 
     // The parser has read the request's header from the stream. All references must outlive the request.
-    CallerRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, Parser &parser, CallHandle handle);
+    CallerRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::unique_ptr<Parser> parser, CallHandle handle);
+
+    // Lets the request write its response. Until then, writes wait: responses leave in the order of their requests.
+    void grantTurn();
+
+    // Waits until grantTurn() was called.
+    Task<> waitForTurn();
+
+    // The request's header.
+    [[nodiscard]] const http::request_header<> &header() const;
+
+    // True when the whole request was read together with its header, and the connection stays open after it.
+    [[nodiscard]] bool allowsReadingAhead() const;
 
     // Reads the body into memory until it is complete or exceeds maxBuffered; readChunk() streams the rest. Returns Ok, BodyTooLarge, BodyBroken, or
     // the reason given to interruptBuffering().
@@ -64,9 +77,6 @@
     // Waits until finish() was called, then cancels pending reads and writes and waits for their end.
     Task<> waitUntilFinished();
 
-    // The caller's connection.
-    beast::tcp_stream &stream();
-
     // Builds the request head that is sent to the inbound daemon.
     [[nodiscard]] RequestHead head() const;
 
@@ -130,9 +140,12 @@
     // Sends "100 Continue" once, if the request expects it.
     Task<> sendContinue();
 
+    // Waits until the response may be written. False when the request is finished.
+    Task<bool> mayWrite();
+
     beast::tcp_stream &stream_;
     beast::flat_buffer &buffer_;
-    Parser &parser_;
+    std::unique_ptr<Parser> parser_;
     CallHandle handle_;
     // Buffered part of the body.
     std::string body_;
@@ -148,6 +161,8 @@
     // True when the response body has chunked transfer encoding.
     bool chunked_ = false;
     bool finished_ = false;
+    // True once the responses to all earlier requests of the connection are written.
+    bool hasTurn_ = false;
     // Number of reads and writes that have not ended.
     int pendingOperations_ = 0;
     bool aborted_ = false;
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -66,9 +66,9 @@
 }
 
 // Time by which a routed call must have its response; never() for other calls, whose limit the world determines.
-Millis responseDueAt(const CallArrived &event)
+Millis responseDueAt(const CallArrived &event, Millis headerReadAt)
 {
-    return event.policy_.routed_ ? WorldRunner::now() + timeoutOf(event, event.policy_) : Millis::never();
+    return event.policy_.routed_ ? headerReadAt + timeoutOf(event, event.policy_) : Millis::never();
 }
 
 // Fills in the fields of a call event that depend on the body.
@@ -141,6 +141,8 @@
     for (const ConnectionPtr &connection : connections_) {
         if (connection->bufferingRequest_) {
             connection->bufferingRequest_->interruptBuffering(ResultCode::DaemonLeaving);
+        } else if (!connection->pipeline_.empty()) {
+            connection->inputWatch_->wake();
         } else if (connection->isAwaitingHead_) {
             connection->stream_.cancel();
         }
@@ -184,6 +186,9 @@
     portUsedAt_ = WorldRunner::now();
     // No user timeout: a caller may stop reading for a while. CallerRequest limits the time of a write.
     setIdleOptions(socket);
+    // For readAvailable(). Fails only on a socket that is already closed; its next use reports the error.
+    error_code ignored;
+    socket.non_blocking(true, ignored);
     const auto connection = std::make_shared<CallerConnection>(std::move(socket), limits_.maxHeaderBytes_ + MaxBufferedBytes);
     connections_.insert(connection);
     asio::co_spawn(worldRunner_.context(), serveConnection(connection), asio::detached);
@@ -192,6 +197,7 @@
 Task<> CallerServer::serveConnection(ConnectionPtr connection)
 {
     while (co_await awaitRequest(connection) && co_await serveRequest(connection)) { }
+    co_await awaitPipeline(connection, false);
     error_code ignored;
     connection->stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
     if (connection->hasResponded_) {
@@ -255,6 +261,10 @@
 
 Task<bool> CallerServer::awaitRequest(ConnectionPtr connection)
 {
+    co_await awaitPipeline(connection, true);
+    if (connection->isEnding_) {
+        co_return false;
+    }
     if (connection->buffer_.size() > 0) {
         co_return true;
     }
@@ -268,42 +278,97 @@
         const bool requestExpected = connection->requestCount_ == 0 || connection->stream_.socket().available(ignored) > 0;
         errorCode = requestExpected ? co_await readMore(connection, LastRequestTimeout) : errorCode;
     }
+    // A watch that is still pending has seen the same bytes.
+    connection->inputWatch_->clearInput();
     co_return !errorCode;
 }
 
+Task<> CallerServer::awaitPipeline(ConnectionPtr connection, bool readsAhead)
+{
+    InputWatch &watch = *connection->inputWatch_;
+    while (!connection->pipeline_.empty()) {
+        const bool mayRead = readsAhead && mayReadAhead(*connection);
+        if (mayRead && findHeadEnd(unparsedBytes(connection->buffer_)) != std::string_view::npos) {
+            co_return;
+        }
+        if (!watch.hasInput()) {
+            co_await watch.wait();
+        } else if (mayRead) {
+            if (!readAvailable(*connection)) {
+                endPipeline(*connection);
+            }
+        } else {
+            if (isClosedByPeer(connection->stream_.socket())) {
+                endPipeline(*connection);
+            }
+            // Unread bytes keep the socket readable.
+            co_await watch.pause(DisconnectCheckInterval);
+        }
+    }
+}
+
+bool CallerServer::mayReadAhead(const CallerConnection &connection) const
+{
+    const bool isLastBeside = !connection.pipeline_.empty() && connection.pipeline_.back()->allowsReadingAhead();
+    const bool hasRoom = connection.pipeline_.size() < limits_.maxPipelinedRequests_ && connection.buffer_.size() < headerLimit();
+    return isLastBeside && hasRoom && !connection.isEnding_ && !isShuttingDown(worldRunner_.world());
+}
+
+bool CallerServer::readAvailable(CallerConnection &connection)
+{
+    error_code errorCode;
+    connection.inputWatch_->clearInput();
+    const std::size_t bytesRead = connection.stream_.socket().read_some(connection.buffer_.prepare(HeaderReadBytes), errorCode);
+    connection.buffer_.commit(bytesRead);
+    return !errorCode || errorCode == asio::error::would_block;
+}
+
+void CallerServer::endPipeline(CallerConnection &connection)
+{
+    connection.isEnding_ = true;
+    for (const auto &request : connection.pipeline_) {
+        if (!request->isFinished()) {
+            worldRunner_.post(CallerDisconnected{request->handle()});
+            request->finish(std::nullopt, true);
+        }
+    }
+}
+
 Task<bool> CallerServer::serveRequest(ConnectionPtr connection)
 {
-    const OpenRequest openRequest(openRequests_);
-    CallerRequest::Parser parser;
-    parser.header_limit(headerLimit());
-    parser.body_limit(boost::none);
+    const auto openRequest = std::make_shared<OpenRequest>(openRequests_);
+    auto parser = std::make_unique<CallerRequest::Parser>();
+    parser->header_limit(headerLimit());
+    parser->body_limit(boost::none);
     connection->isAwaitingHead_ = true;
-    const error_code errorCode = co_await readHeader(connection, parser);
+    const error_code errorCode = co_await readHeader(connection, *parser);
     connection->isAwaitingHead_ = false;
     ++connection->requestCount_;
-    const auto request = std::make_shared<CallerRequest>(connection->stream_, connection->buffer_, parser, CallHandle(++lastHandle_));
-    if (errorCode == asio::error::operation_aborted && isDraining_) {
-        connection->hasResponded_ = true;
-        co_return co_await rejectRequest(request, ResultCode::DaemonLeaving, TraceId());
-    }
-    if (errorCode) {
-        const bool isUnreadable = errorCode.category() == http::make_error_code(http::error::bad_field).category() && errorCode != http::error::end_of_stream;
-        if (isUnreadable) {
-            ++worldRunner_.counters().badRequests_;
-            request->closeAfterResponse();
-            connection->hasResponded_ = true;
-            co_await rejectRequest(request, ResultCode::BadRequest, TraceId());
-        }
+    const auto request = std::make_shared<CallerRequest>(connection->stream_, connection->buffer_, std::move(parser), CallHandle(++lastHandle_));
+    if (!errorCode) {
+        const bool mayKeepAlive = co_await serveCall(connection, request, openRequest);
+        connection->isAwaitingHead_ = mayKeepAlive;
+        co_return mayKeepAlive;
+    }
+    co_await awaitPipeline(connection, false);
+    if (connection->isEnding_) {
         co_return false;
     }
-    const bool mayKeepAlive = co_await serveCall(connection, request, parser);
-    connection->isAwaitingHead_ = mayKeepAlive;
-    connection->hasResponded_ = !request->isAborted();
-    co_return mayKeepAlive;
+    if (errorCode == asio::error::operation_aborted && isDraining_) {
+        co_return co_await rejectRequest(connection, request, ResultCode::DaemonLeaving, TraceId());
+    }
+    const bool isUnreadable = errorCode.category() == http::make_error_code(http::error::bad_field).category() && errorCode != http::error::end_of_stream;
+    if (isUnreadable) {
+        ++worldRunner_.counters().badRequests_;
+        request->closeAfterResponse();
+        co_await rejectRequest(connection, request, ResultCode::BadRequest, TraceId());
+    }
+    co_return false;
 }
 
-Task<bool> CallerServer::rejectRequest(std::shared_ptr<CallerRequest> request, ResultCode code, TraceId trace)
+Task<bool> CallerServer::rejectRequest(ConnectionPtr connection, std::shared_ptr<CallerRequest> request, ResultCode code, TraceId trace)
 {
+    connection->hasResponded_ = true;
     worldRunner_.post(RequestRefused{code, trace});
     const CallFailure failure{code, trace.value(), retryDelay(worldRunner_.world(), code, random_.uniformReal()), false};
     co_return co_await writeFailure(request, failure);
@@ -319,43 +384,55 @@
     co_return co_await request->writeResponse(response);
 }
 
-Task<bool> CallerServer::serveCall(ConnectionPtr connection, std::shared_ptr<CallerRequest> request, CallerRequest::Parser &parser)
+bool CallerServer::mayRunBesideOthers(const CallerRequest &request, const ParsedCallHeader &header) const
+{
+    return header.code_ == ResultCode::Ok && header.event_.policy_.isIdempotent_ && request.allowsReadingAhead() && !isDraining_;
+}
+
+Task<bool> CallerServer::serveCall(ConnectionPtr connection, std::shared_ptr<CallerRequest> request, std::shared_ptr<OpenRequest> openRequest)
 {
-    ParsedCallHeader parsedHeader = adapter_.readCall(worldRunner_.world(), parser.get());
+    const Millis headerReadAt = WorldRunner::now();
+    ParsedCallHeader parsedHeader = adapter_.readCall(worldRunner_.world(), request->header());
+    const bool runsBesideOthers = mayRunBesideOthers(*request, parsedHeader);
+    if (!runsBesideOthers && !connection->pipeline_.empty()) {
+        co_await awaitPipeline(connection, false);
+        if (connection->isEnding_) {
+            co_return false;
+        }
+        // The configuration may have changed meanwhile.
+        parsedHeader = adapter_.readCall(worldRunner_.world(), request->header());
+    }
+    const TraceId trace = parsedHeader.event_.trace_;
     if (parsedHeader.code_ != ResultCode::Ok) {
-        co_return co_await rejectRequest(request, parsedHeader.code_, parsedHeader.event_.trace_);
+        co_return co_await rejectRequest(connection, request, parsedHeader.code_, trace);
     }
-    const Millis dueAt = responseDueAt(parsedHeader.event_);
+    const Millis dueAt = responseDueAt(parsedHeader.event_, headerReadAt);
     if (isDraining_ || refusesCall(worldRunner_.world(), dueAt)) {
-        co_return co_await rejectRequest(request, ResultCode::DaemonLeaving, parsedHeader.event_.trace_);
+        co_await awaitPipeline(connection, false);
+        co_return !connection->isEnding_ && co_await rejectRequest(connection, request, ResultCode::DaemonLeaving, trace);
     }
     request->setFields(std::move(parsedHeader.fields_));
     const auto limit = static_cast<std::uint64_t>(parsedHeader.maxBody_.value());
     request->limitStreamedBody(limit);
-    const auto length = parser.content_length();
-    if (length && *length > limit) {
-        co_return co_await rejectRequest(request, ResultCode::BodyTooLarge, parsedHeader.event_.trace_);
-    }
-    const Millis headerReadAt = WorldRunner::now();
     const BodyLimits limits{limit, parsedHeader.isStreamed_ ? MaxReplayableBodyBytes : limit};
     const ResultCode body = co_await bufferBody(connection, request, limits, dueAt);
     if (body != ResultCode::Ok) {
-        co_return co_await rejectRequest(request, body, parsedHeader.event_.trace_);
+        co_return co_await rejectRequest(connection, request, body, trace);
     }
     if (isClosedByPeer(connection->stream_.socket())) {
         // The caller left while its request waited to be read.
-        worldRunner_.post(RequestRefused{ResultCode::Withdrawn, parsedHeader.event_.trace_});
-        request->finish(std::nullopt, true);
+        worldRunner_.post(RequestRefused{ResultCode::Withdrawn, trace});
+        endPipeline(*connection);
         co_return false;
     }
     parsedHeader.event_.bodyTime_ = WorldRunner::now() - headerReadAt;
-    completeEvent(parsedHeader.event_, *request, parser.get()["traceparent"]);
-    co_await runCall(request, parsedHeader.event_, request->stream());
-    if (request->failure()) {
-        const CallFailure failure{*request->failure(), parsedHeader.event_.trace_.value(), request->retryAfter(), false};
-        co_return co_await writeFailure(request, failure);
+    completeEvent(parsedHeader.event_, *request, request->header()["traceparent"]);
+    start(*connection, request, parsedHeader.event_);
+    asio::co_spawn(acceptor_.get_executor(), respond(connection, request, parsedHeader.event_.trace_, openRequest), asio::detached);
+    if (!runsBesideOthers) {
+        co_await awaitPipeline(connection, false);
     }
-    co_return !request->mustClose();
+    co_return !connection->isEnding_;
 }
 
 Task<ResultCode> CallerServer::bufferBody(ConnectionPtr connection, std::shared_ptr<CallerRequest> request, BodyLimits limits, Millis dueAt)
@@ -375,38 +452,40 @@
     co_return result;
 }
 
-Task<> CallerServer::runCall(const std::shared_ptr<CallerRequest> &request, const CallArrived &event, beast::tcp_stream &stream)
+void CallerServer::start(CallerConnection &connection, const std::shared_ptr<CallerRequest> &request, const CallArrived &event)
 {
+    if (connection.pipeline_.empty()) {
+        request->grantTurn();
+    } else {
+        ++worldRunner_.counters().pipelinedRequests_;
+    }
+    connection.pipeline_.push_back(request);
     requests_[request->handle()] = request;
     worldRunner_.post(event);
-    const auto ended = std::make_shared<bool>(false);
-    asio::co_spawn(acceptor_.get_executor(), watchForDisconnect(request, stream, ended), asio::detached);
-    co_await request->waitUntilFinished();
-    *ended = true;
-    requests_.erase(request->handle());
-    error_code ignored;
-    // Ends watchForDisconnect(), which waits on the same socket.
-    stream.socket().cancel(ignored);
-    co_await asio::post(acceptor_.get_executor(), asio::use_awaitable);
 }
 
-Task<> CallerServer::watchForDisconnect(std::shared_ptr<CallerRequest> request, beast::tcp_stream &stream, std::shared_ptr<bool> ended)
+Task<> CallerServer::respond(ConnectionPtr connection, std::shared_ptr<CallerRequest> request, TraceId trace, std::shared_ptr<OpenRequest> /*openRequest*/)
 {
-    asio::steady_timer timer(worldRunner_.context());
-    error_code errorCode;
-    while (!errorCode && !*ended) {
-        co_await stream.socket().async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, errorCode));
-        if (errorCode || *ended) {
-            break;
-        }
-        if (isClosedByPeer(stream.socket())) {
-            worldRunner_.post(CallerDisconnected{request->handle()});
-            request->finish(std::nullopt, true);
-            break;
+    co_await request->waitUntilFinished();
+    requests_.erase(request->handle());
+    co_await request->waitForTurn();
+    if (!connection->isEnding_) {
+        connection->hasResponded_ = !request->isAborted();
+        bool mayKeepAlive = !request->mustClose();
+        if (request->failure()) {
+            const CallFailure failure{*request->failure(), trace.value(), request->retryAfter(), false};
+            mayKeepAlive = co_await writeFailure(request, failure);
         }
-        timer.expires_after(toChrono(DisconnectCheckInterval));
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, errorCode));
+        connection->isEnding_ = connection->isEnding_ || !mayKeepAlive;
+    }
+    connection->pipeline_.pop_front();
+    if (connection->isEnding_) {
+        endPipeline(*connection);
+    }
+    if (!connection->pipeline_.empty()) {
+        connection->pipeline_.front()->grantTurn();
     }
+    connection->inputWatch_->wake();
 }
 
 } // namespace radishford
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -4,9 +4,11 @@
 #include "core/random.h"
 #include "net/caller_request.h"
 #include "net/http_adapters.h"
+#include "net/input_watch.h"
 #include "net/world_runner.h"
 
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -17,6 +19,8 @@
 struct CallerLimits {
     std::size_t maxConnections_ = 4096;
     std::uint32_t maxHeaderBytes_ = 16384;
+    // Maximum number of requests of one connection that are served at the same time.
+    std::size_t maxPipelinedRequests_ = 16;
 };
 
 // One connection of a caller.
@@ -24,6 +28,7 @@
     CallerConnection(tcp::socket socket, std::size_t maxBufferedBytes)
         : stream_(std::move(socket))
         , buffer_(maxBufferedBytes)
+        , inputWatch_(std::make_shared<InputWatch>(stream_.socket()))
     {
     }
 
@@ -38,6 +43,12 @@
     std::uint64_t requestCount_ = 0;
     // True when the last request got a response.
     bool hasResponded_ = false;
+    // Requests that are being served, in the order in which their responses leave.
+    std::deque<std::shared_ptr<CallerRequest>> pipeline_;
+    // True once no further request may be served: the caller has left, or a response announced the end of the connection.
+    bool isEnding_ = false;
+    // Shared, since a watch that was started may end after the connection.
+    std::shared_ptr<InputWatch> inputWatch_;
 };
 
 // Listens for callers, posts their requests as CallArrived events and writes the results.
@@ -111,6 +122,19 @@
     // Waits for the first byte of a request. False when the connection has ended or was idle for too long.
     Task<bool> awaitRequest(ConnectionPtr connection);
 
+    // Waits until the requests being served have their responses. With readsAhead, returns earlier when the head of a further request has arrived
+    // that may be served beside them. Ends the requests when the caller leaves.
+    Task<> awaitPipeline(ConnectionPtr connection, bool readsAhead);
+
+    // True when a request may be read while earlier ones are being served.
+    [[nodiscard]] bool mayReadAhead(const CallerConnection &connection) const;
+
+    // Reads the bytes that have arrived. False when the caller has left.
+    bool readAvailable(CallerConnection &connection);
+
+    // Cancels the requests of a connection that will get no response.
+    void endPipeline(CallerConnection &connection);
+
     // Reads and discards what the caller still sends after the last response.
     Task<> discardInput(ConnectionPtr connection);
 
@@ -121,13 +145,16 @@
     Task<error_code> readHeader(ConnectionPtr connection, CallerRequest::Parser &parser);
 
     // Rejects a request before it becomes a call. False when the connection must be closed.
-    Task<bool> rejectRequest(std::shared_ptr<CallerRequest> request, ResultCode code, TraceId trace);
+    Task<bool> rejectRequest(ConnectionPtr connection, std::shared_ptr<CallerRequest> request, ResultCode code, TraceId trace);
 
     // Writes a failure response created by the daemon and sets its keep-alive flag. False when the connection must be closed.
     Task<bool> writeFailure(std::shared_ptr<CallerRequest> request, CallFailure failure);
 
-    // Serves a request whose header was read. False when the connection must be closed.
-    Task<bool> serveCall(ConnectionPtr connection, std::shared_ptr<CallerRequest> request, CallerRequest::Parser &parser);
+    // True when a request may run beside earlier ones of its connection: it may run again, has no body and will be accepted.
+    [[nodiscard]] bool mayRunBesideOthers(const CallerRequest &request, const ParsedCallHeader &header) const;
+
+    // Serves a request whose header was read. Returns early when it may run beside further ones. False when the connection must be closed.
+    Task<bool> serveCall(ConnectionPtr connection, std::shared_ptr<CallerRequest> request, std::shared_ptr<OpenRequest> openRequest);
 
     // Sizes in bytes up to which a body is accepted and buffered.
     struct BodyLimits {
@@ -138,11 +165,11 @@
     // Buffers the body of a request until its response is due. Returns why the request must be rejected, or Ok.
     Task<ResultCode> bufferBody(ConnectionPtr connection, std::shared_ptr<CallerRequest> request, BodyLimits limits, Millis dueAt);
 
-    // Posts a call and waits for its end.
-    Task<> runCall(const std::shared_ptr<CallerRequest> &request, const CallArrived &event, beast::tcp_stream &stream);
+    // Adds a request to its connection's pipeline and posts its call.
+    void start(CallerConnection &connection, const std::shared_ptr<CallerRequest> &request, const CallArrived &event);
 
-    // Posts CallerDisconnected when the caller disconnects before the call ends.
-    Task<> watchForDisconnect(std::shared_ptr<CallerRequest> request, beast::tcp_stream &stream, std::shared_ptr<bool> ended);
+    // Waits for the end of a call and completes its response in its turn.
+    Task<> respond(ConnectionPtr connection, std::shared_ptr<CallerRequest> request, TraceId trace, std::shared_ptr<OpenRequest> openRequest);
 
     WorldRunner &worldRunner_;
     const CallAdapter &adapter_;
--- a/src/net/world_runner.h
+++ b/src/net/world_runner.h
@@ -27,6 +27,8 @@
     std::uint64_t badMessages_ = 0;
     // HTTP requests that could not be read.
     std::uint64_t badRequests_ = 0;
+    // Requests of callers that were read while an earlier one of the same connection was being served.
+    std::uint64_t pipelinedRequests_ = 0;
     // Connections closed on accept because the limit was reached.
     std::uint64_t refusedConnections_ = 0;
     // Bytes sent on exchanges of first attempts.
