Calls: a further offer when all others wait at slow servers

A call now makes up to two further offers once all of its offers have waited at slow servers with free slots for an eighth of its time limit. Offers that wait for a slot do not count: in overload more offers lengthen queues and serve fewer.

--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -27,6 +27,8 @@
 // A routed offer without a reply for this long counts as lost, since the inbound side replies after one check of its backend server at the
 // latest. It is withdrawn, or the call is hedged when the request may already be running.
 constexpr Millis RoutedOfferTimeout{100};
+// Reported service time from which a server counts as slow, as a percentage of its usual one.
+constexpr Percent SlowReport{180};
 // Number of backend server failures after which a call is not run again.
 constexpr std::int32_t MaxBackendFailures = 2;
 
@@ -283,6 +285,12 @@
     }
 }
 
+// True when a server that queues a request is slow rather than full.
+bool isSlowWithFreeSlots(const LoadReport &report)
+{
+    return report.slowness_ >= SlowReport && report.inFlight_ < report.limit_;
+}
+
 // Builds the offer of an attempt.
 Offer makeOffer(World &world, const Call &call, CallId callId, AttemptId id)
 {
@@ -433,6 +441,7 @@
         handleAdmitted(world, event.attempt_);
         break;
     case Verdict::Queued:
+        world.calls_.attempts_.get(event.attempt_)->awaitsSpeed_ = isSlowWithFreeSlots(event.reply_.report_);
         handleQueued(world, event.attempt_);
         break;
     case Verdict::Refused:
--- a/src/call/call_base.h
+++ b/src/call/call_base.h
@@ -82,6 +82,8 @@
     Millis startedAt_;
     // When its admission was reported, or the response started if that came first.
     Millis admittedAt_;
+    // True when it is queued although slots are free: the server is in a slow period.
+    bool awaitsSpeed_ = false;
     // True when it was started while another attempt of an idempotent call ran.
     bool isHedge_ = false;
     // True for every attempt but the first of a call, including hedges: its traffic counts as retry.
--- a/src/call/call_cmd.cpp
+++ b/src/call/call_cmd.cpp
@@ -21,8 +21,13 @@
 
 // Maximum number of attempts of one call.
 constexpr std::int32_t MaxAttempts = 4;
-// Maximum number of open offers of one call.
+// Maximum number of open offers of one call. A routed call may have more while they wait at slow servers.
 constexpr std::size_t MaxLiveAttempts = 2;
+// A call makes a further offer when all others have waited for the end of a server's slow period for one part in this many of its time limit: slow
+// periods can outlast the limit. While an offer waits for a free slot, further ones would only lengthen the queues of full servers.
+constexpr std::int64_t SlowServerPatienceDivisor = 8;
+// Maximum number of open offers of such a call.
+constexpr std::size_t MaxOffersAtSlowServers = 4;
 // Delay before a call that found no backend server is routed again, while its deadline allows.
 constexpr Millis NoBackendRetryDelay{50};
 // Delay unit for a routed call that found no capacity. It is short because every response frees a slot.
@@ -189,12 +194,48 @@
     failCall(world, id, call.lastFailureCode_);
 }
 
+// Time that an offer waits at a slow server before its call makes a further one.
+Millis slowServerPatience(const Call &call)
+{
+    return Millis::fromMicros((call.deadline_ - call.startedAt_).micros() / SlowServerPatienceDivisor);
+}
+
+// True when all open offers of a routed call wait at slow servers, at least for the given time.
+bool allAwaitSpeed(const World &world, const Call &call, Millis forAtLeast)
+{
+    return call.routed_ && std::all_of(call.attempts_.begin(), call.attempts_.end(), [&](AttemptId id) {
+               const Attempt &attempt = *world.calls_.attempts_.get(id);
+               return attempt.state_ == AttemptState::Queued && attempt.awaitsSpeed_ && world.now_ >= attempt.startedAt_ + forAtLeast;
+           });
+}
+
+// True when a call has as many open offers as it may have now.
+bool hasEnoughOffers(const World &world, const Call &call)
+{
+    const std::size_t limit = allAwaitSpeed(world, call, slowServerPatience(call)) ? MaxOffersAtSlowServers : MaxLiveAttempts;
+    return call.attempts_.size() >= limit;
+}
+
+// Routes a call again once its offers have waited at slow servers for a while.
+void scheduleFurtherOffer(World &world, CallId id, Call &call)
+{
+    const bool isUseful = call.attempts_.size() < MaxOffersAtSlowServers && allAwaitSpeed(world, call, Millis());
+    if (isUseful && !call.isRetryScheduled_) {
+        call.isRetryScheduled_ = true;
+        world.timers_.add(world.now_ + slowServerPatience(call), TimerKind::CallRetry, id.packed());
+    }
+}
+
 // Starts a further attempt of one call if that is possible.
 void routeCall(World &world, CallId id)
 {
     Call *call = world.calls_.calls_.get(id);
     const bool needsAttempt = call != nullptr && (call->state_ == CallState::Routing || call->state_ == CallState::Offering);
-    if (!needsAttempt || call->attempts_.size() >= MaxLiveAttempts) {
+    if (!needsAttempt) {
+        return;
+    }
+    if (hasEnoughOffers(world, *call)) {
+        scheduleFurtherOffer(world, id, *call);
         return;
     }
     const std::int32_t attemptCount = call->routed_ ? backendsPossiblyReached(world, *call) : call->attemptsStarted_;
--- a/test/fake/load_pattern.h
+++ b/test/fake/load_pattern.h
@@ -65,8 +65,10 @@
     }
 };
 
-// Replays a load pattern on a routed fleet and waits for three seconds for the last calls. Two calls of three are reads.
-inline LoadOutcome replayLoad(FakeFleet &fleet, const std::vector<LoadPhase> &phases, std::uint64_t seed)
+// Replays a load pattern on a routed fleet and waits for three seconds for the last calls. Two calls of three are reads. `changeCall`, if any, is
+// applied to each call.
+inline LoadOutcome replayLoad(FakeFleet &fleet, const std::vector<LoadPhase> &phases, std::uint64_t seed,
+                              const std::function<void(FakeCall &)> &changeCall = {})
 {
     Random random(seed);
     const std::size_t first = fleet.calls_.size();
@@ -76,7 +78,10 @@
         const Millis end = fleet.now() + phase.span_;
         while (fleet.now() < end) {
             const std::string token = "call" + std::to_string(fleet.calls_.size());
-            const FakeCall call = routedCall(token, random.uniformBelow(Thirds) != 0);
+            FakeCall call = routedCall(token, random.uniformBelow(Thirds) != 0);
+            if (changeCall) {
+                changeCall(call);
+            }
             fleet.call(random.uniformBelow(fleet.size()), call);
             const double wait = -std::log(1 - random.uniformReal()) / phase.callsPerSecond_;
             fleet.runFor(Millis::fromMicros(static_cast<std::int64_t>(wait * MicrosPerSecond)));
--- a/test/load_replay_test.cpp
+++ b/test/load_replay_test.cpp
@@ -58,6 +58,29 @@
     BOOST_TEST(static_cast<double>(with.healthChecks_) < Instances * 48.0 * 15);
 }
 
+// Load pattern: short calls with a short time limit, as servers make them for requests that they are running, on servers whose slow periods outlast
+// that limit. A call that waits at two slow servers only is lost, and its parent with it.
+BOOST_AUTO_TEST_CASE(calls_do_not_wait_for_the_end_of_long_slow_periods)
+{
+    constexpr Millis CallWork{35};
+    constexpr Millis TimeLimit{400};
+    constexpr double Target = 0.99;
+    FakeFleet fleet(Instances, 34, routedSettings());
+    for (FakeInstance &instance : fleet.instances_) {
+        instance.slots_ = SlotsPerServer;
+        instance.serviceTime_ = CallWork;
+    }
+    const SpeedPhases phases(0.25, 7, Millis(500), PhaseSeed);
+    fleet.slowness_ = [&](std::size_t index) { return phases.at(index, fleet.now()); };
+    startRoutedFleet(fleet);
+    const LoadOutcome outcome = replayLoad(fleet, {{300, Millis(10000)}}, 44, [&](FakeCall &call) {
+        call.policy_.timeout_ = TimeLimit;
+        call.policy_.latencyTarget_ = TimeLimit;
+    });
+    printOutcome("long slow periods", outcome);
+    BOOST_TEST(outcome.onTimeShare() > Target);
+}
+
 // Load pattern: three seconds at twice the servers' capacity, then moderate load whose calls must soon complete on time again.
 BOOST_AUTO_TEST_CASE(overload_is_served_by_value)
 {
