Tests: odd entries of other writers, through every reader of rows and heartbeats

Deep nesting, numbers too large, ports out of range, wrong types, broken bytes and entries of 1 MB, in the list of daemons, the desired state, responses of the store and heartbeats.

--- a/test/standin/daemon_fixture.h
+++ b/test/standin/daemon_fixture.h
@@ -87,8 +87,9 @@
 {
 public:
     // Starts the daemon and waits until its backend server is ready. A rate of zero means no health checks.
-    explicit DaemonFixture(double checksPerSecond = 0)
-        : address_(loopbackAddress())
+    explicit DaemonFixture(double checksPerSecond = 0, std::string memberRows = {})
+        : memberRows_(std::move(memberRows))
+        , address_(loopbackAddress())
         , store_(context_, Address{address_, StorePort}, [this](const HttpRequest &request) { return respondToStoreRequest(request); })
         , backend_(context_, toEndpoint<tcp>(Address{address_, BackendPort}))
         , daemon_(std::make_unique<Daemon>(context_, settings(checksPerSecond), platform::httpAdapters(), Seed))
@@ -247,6 +248,9 @@
     Millis maxAcceptedIdleTime_ = Millis::never();
     // Callers pause this long between the header and the body of a request.
     Millis bodyDelay_;
+    // Rows of the store's list of daemons, as JSON objects joined by commas, and how often the daemon has read them.
+    std::string memberRows_;
+    int memberListReads_ = 0;
     // While false, the store delays every response by 20 s.
     bool storeResponds_ = true;
 
@@ -318,6 +322,7 @@
         return daemon_->worldRunner().world().admissions_.backend_.state_ == BackendState::Ready;
     }
 
+public:
     static std::string base64(const std::string &bytes)
     {
         namespace iterators = boost::archive::iterators;
@@ -327,6 +332,24 @@
         return text;
     }
 
+    // Sends a heartbeat with any body. Returns the status of the response; zero when there is none.
+    unsigned announceRaw(const std::string &body)
+    {
+        const auto status = std::make_shared<std::optional<unsigned>>();
+        const HttpRequest request = makeRequest(http::verb::post, "/Instances.Heartbeat/i-1", body);
+        asio::co_spawn(
+            context_,
+            [this, request, status]() -> Task<> {
+                const Address address{address_, AnnouncePort};
+                const auto response = co_await sendHttpRequest(context_, address, request, std::chrono::milliseconds(1000));
+                *status = response ? response->result_int() : 0;
+            },
+            asio::detached);
+        runUntil([&]() { return status->has_value(); });
+        return status->value_or(0);
+    }
+
+private:
     // Responds to the daemon's requests to the store. Delays the response by 20 s while storeResponds_ is false, and always to a request for the feed.
     Task<HttpResponse> respondToStoreRequest(const HttpRequest &request)
     {
@@ -338,7 +361,10 @@
         }
         const std::string config = R"({"table":"op","part":"","key":"config","value":")" + base64(desiredStateJson()) + R"(","ver":4})";
         const bool isConfigRequest = target.starts_with("/rows-get?table=op");
-        co_return makeResponse(200, "application/json", R"({"rows":[)" + (isConfigRequest ? config : std::string()) + R"(],"hasMore":false,"ver":4,"nowS":1})");
+        const bool isMemberRequest = target.starts_with("/rows-get?table=daemons");
+        const std::string rows = isConfigRequest ? config : isMemberRequest ? memberRows_ : std::string();
+        memberListReads_ += isMemberRequest ? 1 : 0;
+        co_return makeResponse(200, "application/json", R"({"rows":[)" + rows + R"(],"hasMore":false,"ver":4,"nowS":1})");
     }
 
     Task<> acceptBackendConnections()
