--- a/src/net/caller_request.cpp
+++ b/src/net/caller_request.cpp
@@ -274,11 +274,6 @@
     return parser_->get();
 }
 
-bool CallerRequest::allowsReadingAhead() const
-{
-    return mayKeepAlive();
-}
-
 RequestHead CallerRequest::head() const
 {
     const auto &message = parser_->get();
--- a/src/net/caller_request.h
+++ b/src/net/caller_request.h
@@ -37,9 +37,6 @@
     // The request's header.
     [[nodiscard]] const http::request_header<> &header() const;
 
-    // True when the whole request was read together with its header, and the connection stays open after it.
-    [[nodiscard]] bool allowsReadingAhead() const;
-
     // Reads the body into memory until it is complete or exceeds maxBuffered; readChunk() streams the rest. Returns Ok, BodyTooLarge, BodyBroken, or
     // the reason given to interruptBuffering().
     Task<ResultCode> bufferBody(std::uint64_t limit, std::uint64_t maxBuffered);
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -309,9 +309,8 @@
 
 bool CallerServer::mayReadAhead(const CallerConnection &connection) const
 {
-    const bool isLastBeside = !connection.pipeline_.empty() && connection.pipeline_.back()->allowsReadingAhead();
-    const bool hasRoom = connection.pipeline_.size() < limits_.maxPipelinedRequests_ && connection.buffer_.size() < headerLimit();
-    return isLastBeside && hasRoom && !connection.isEnding_ && !isShuttingDown(worldRunner_.world());
+    const bool staysOpen = !connection.isEnding_ && connection.pipeline_.back()->mayKeepAlive() && !isShuttingDown(worldRunner_.world());
+    return staysOpen && connection.pipeline_.size() < limits_.maxPipelinedRequests_ && connection.buffer_.size() < headerLimit();
 }
 
 bool CallerServer::readAvailable(CallerConnection &connection)
@@ -386,7 +385,7 @@
 
 bool CallerServer::mayRunBesideOthers(const CallerRequest &request, const ParsedCallHeader &header) const
 {
-    return header.code_ == ResultCode::Ok && header.event_.policy_.isIdempotent_ && request.allowsReadingAhead() && !isDraining_;
+    return header.code_ == ResultCode::Ok && header.event_.policy_.isIdempotent_ && request.mayKeepAlive() && !isDraining_;
 }
 
 Task<bool> CallerServer::serveCall(ConnectionPtr connection, std::shared_ptr<CallerRequest> request, std::shared_ptr<OpenRequest> openRequest)
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -126,7 +126,7 @@
     // that may be served beside them. Ends the requests when the caller leaves.
     Task<> awaitPipeline(ConnectionPtr connection, bool readsAhead);
 
-    // True when a request may be read while earlier ones are being served.
+    // True when a request may be read while earlier ones are being served. The pipeline must not be empty.
     [[nodiscard]] bool mayReadAhead(const CallerConnection &connection) const;
 
     // Reads the bytes that have arrived. False when the caller has left.
@@ -150,7 +150,7 @@
     // Writes a failure response created by the daemon and sets its keep-alive flag. False when the connection must be closed.
     Task<bool> writeFailure(std::shared_ptr<CallerRequest> request, CallFailure failure);
 
-    // True when a request may run beside earlier ones of its connection: it may run again, has no body and will be accepted.
+    // True when a request may run beside others of its connection: it may run again, its body is empty, and the connection stays open after it.
     [[nodiscard]] bool mayRunBesideOthers(const CallerRequest &request, const ParsedCallHeader &header) const;
 
     // Serves a request whose header was read. Returns early when it may run beside further ones. False when the connection must be closed.
