--- a/src/call/link_load.cpp
+++ b/src/call/link_load.cpp
@@ -56,8 +56,9 @@
 {
     const Bytes promised = world.admissions_.promisedResponseBytes_;
     const Bytes size = expectedResponseSize(world, row);
-    const bool isSmall = linkTime(world, size) < MaxSmallLinkTime;
-    return isSmall || linkTime(world, promised + size) <= timeAhead(world, row.offer_.class_);
+    // A response that exceeds the limit by itself is sent when nothing else is.
+    const bool isEitherSmall = std::min(linkTime(world, size), linkTime(world, promised)) < MaxSmallLinkTime;
+    return isEitherSmall || linkTime(world, promised + size) <= timeAhead(world, row.offer_.class_);
 }
 
 } // namespace radishford
--- a/src/call/link_load_func.h
+++ b/src/call/link_load_func.h
@@ -15,7 +15,7 @@
 Bytes expectedResponseSize(const World &world, const Admission &row);
 
 // True when the link can carry the response to a request soon, beside those of all running requests. Small responses always fit, since holding them
-// back would save nothing.
+// back would save nothing, and any response fits a link that is nearly free.
 bool fitsLink(const World &world, const Admission &row);
 
 } // namespace radishford
