Callers: one request of a connection at a time by default

The whole test suite, run late, showed that a connection whose pipelined GET was aborted, or whose response announced its end, is not closed in time (platform_endless_test, platform_cut_test, platform_shutdown_test).

--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -385,7 +385,7 @@
 
 bool CallerServer::mayRunBesideOthers(const CallerRequest &request, const ParsedCallHeader &header) const
 {
-    return header.code_ == ResultCode::Ok && header.event_.policy_.isIdempotent_ && request.mayKeepAlive() && !isDraining_;
+    return limits_.maxPipelinedRequests_ > 1 && header.code_ == ResultCode::Ok && header.event_.policy_.isIdempotent_ && request.mayKeepAlive() && !isDraining_;
 }
 
 Task<bool> CallerServer::serveCall(ConnectionPtr connection, std::shared_ptr<CallerRequest> request, std::shared_ptr<OpenRequest> openRequest)
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -20,7 +20,7 @@
     std::size_t maxConnections_ = 4096;
     std::uint32_t maxHeaderBytes_ = 16384;
     // Maximum number of requests of one connection that are served at the same time.
-    std::size_t maxPipelinedRequests_ = 16;
+    std::size_t maxPipelinedRequests_ = 1;
 };
 
 // One connection of a caller.
