--- a/review/standin/standins.h
+++ b/review/standin/standins.h
@@ -398,7 +398,17 @@
         changed_.notify_all();
     }
 
+    // Number of rows in a table.
+    std::size_t rowCount(const std::string &table)
+    {
+        const std::lock_guard lock(mutex_);
+        return static_cast<std::size_t>(std::count_if(rows_.begin(), rows_.end(), [&](const auto &entry) { return std::get<0>(entry.first) == table; }));
+    }
+
 private:
+    // Rows of one response at most.
+    static constexpr std::size_t MaxRows = 500;
+
     struct Row {
         std::string value_;
         std::uint64_t version_ = 0;
@@ -443,8 +453,9 @@
             }
             changed_.notify_all();
         } else if (target.rfind("/rows-get", 0) == 0) {
-            result["rows"] = select(parameter(target, "table"), parameter(target, "from"), parameter(target, "limit"));
-            result["hasMore"] = false;
+            bool hasMore = false;
+            result["rows"] = select(parameter(target, "table"), parameter(target, "from"), parameter(target, "limit"), hasMore);
+            result["hasMore"] = hasMore;
         } else if (target.rfind("/rows-feed", 0) == 0) {
             const std::string table = parameter(target, "table");
             const std::uint64_t after = std::strtoull(parameter(target, "after").c_str(), nullptr, 10);
@@ -469,14 +480,19 @@
         return json::object{{"table", std::get<0>(key)}, {"part", std::get<1>(key)}, {"key", std::get<2>(key)}, {"value", row.value_}, {"ver", row.version_}};
     }
 
-    json::array select(const std::string &table, const std::string &from, const std::string &limit)
+    json::array select(const std::string &table, const std::string &from, const std::string &limit, bool &hasMore)
     {
-        const std::size_t most = limit.empty() ? 500 : std::strtoul(limit.c_str(), nullptr, 10);
+        const std::size_t most = limit.empty() ? MaxRows : std::min<std::size_t>(MaxRows, std::strtoul(limit.c_str(), nullptr, 10));
         json::array rows;
         for (const auto &[key, row] : rows_) {
-            if (std::get<0>(key) == table && std::get<2>(key) >= from && rows.size() < most) {
-                rows.push_back(toJson(key, row));
+            if (std::get<0>(key) != table || std::get<2>(key) < from) {
+                continue;
+            }
+            if (rows.size() == most) {
+                hasMore = true;
+                break;
             }
+            rows.push_back(toJson(key, row));
         }
         return rows;
     }
@@ -572,14 +588,21 @@
         std::ofstream(settingsPath_) << json::serialize(settings);
     }
     ~DaemonProcess()
+    {
+        killNow();
+    }
+    DaemonProcess(const DaemonProcess &) = delete;
+    DaemonProcess &operator=(const DaemonProcess &) = delete;
+
+    // Kills the process, or does nothing when it does not run.
+    void killNow()
     {
         if (process_ > 0) {
             kill(process_, SIGKILL);
             waitpid(process_, nullptr, 0);
+            process_ = -1;
         }
     }
-    DaemonProcess(const DaemonProcess &) = delete;
-    DaemonProcess &operator=(const DaemonProcess &) = delete;
 
     void start()
     {
