Logs and counters for requests whose callers get no complete response

A connection that ended without a response left no line unless the daemon exited, and a departed caller could not be told from a write that failed or a read that was cancelled. Each such request now counts once in radishford_unanswered_total by its reason, and has a request_unanswered line with its position on the connection, the bytes that were written and the progress of its call. call_aborted names the reason as well, and is written for every response that is cut while it is relayed. explain shows the reason. No decision changes.

--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -470,7 +470,7 @@
         return;
     }
     if (attempt->state_ == AttemptState::Relaying) {
-        abortRelayedCall(world, attempt->call_, ResultCode::AnswerLost);
+        abortRelayedCall(world, attempt->call_, ResultCode::AnswerLost, UnansweredReason::ResponseCut);
     } else if (provesNotRun(event.code_)) {
         handleAttemptNotRun(world, event.attempt_, event.code_, false);
     } else {
@@ -514,7 +514,7 @@
         return;
     }
     if (attempt->state_ == AttemptState::Relaying) {
-        abortRelayedCall(world, attempt->call_, ResultCode::AnswerLost);
+        abortRelayedCall(world, attempt->call_, ResultCode::AnswerLost, UnansweredReason::ResponseCut);
         return;
     }
     if (event.isUnsent_ || !mayRun(*attempt)) {
--- a/src/call/call_cmd.cpp
+++ b/src/call/call_cmd.cpp
@@ -315,10 +315,13 @@
 
 void handle(World &world, const CallerDisconnected &event)
 {
+    world.counters_.add(event.reason_);
     const auto found = world.calls_.byHandle_.find(event.handle_);
     if (found == world.calls_.byHandle_.end()) {
+        logUnanswered(world, event, nullptr);
         return;
     }
+    logUnanswered(world, event, world.calls_.calls_.get(found->second));
     removeCall(world, found->second, ResultCode::Withdrawn);
 }
 
@@ -345,7 +348,7 @@
         world.timers_.add(end, TimerKind::CallDeadline, id.packed());
         return;
     }
-    abortRelayedCall(world, id, ResultCode::DeadlineUnknown);
+    abortRelayedCall(world, id, ResultCode::DeadlineUnknown, UnansweredReason::RelayOverdue);
 }
 
 } // namespace
@@ -400,10 +403,12 @@
     removeCall(world, id, reportedCode);
 }
 
-void abortRelayedCall(World &world, CallId id, ResultCode code)
+void abortRelayedCall(World &world, CallId id, ResultCode code, UnansweredReason reason)
 {
+    const Call &call = *world.calls_.calls_.get(id);
     ++world.counters_.results_[code];
-    world.emit(AbortCall{world.calls_.calls_.get(id)->handle_});
+    logCallAborted(world, call, code, reason);
+    world.emit(AbortCall{call.handle_, reason});
     removeCall(world, id, code);
 }
 
--- a/src/call/call_func.h
+++ b/src/call/call_func.h
@@ -33,7 +33,7 @@
 // Counts and logs a request that the front end refused.
 void handle(World &world, const RequestRefused &event);
 
-// Ends a call whose caller disconnected.
+// Counts and logs a request whose caller gets no complete response, and ends its call unless it has ended.
 void handle(World &world, const CallerDisconnected &event);
 
 // Starts attempts for all calls that need one.
@@ -49,7 +49,7 @@
 void failCall(World &world, CallId id, ResultCode code);
 
 // Ends a call whose response is being relayed. The caller's connection is aborted so that the response is seen as incomplete.
-void abortRelayedCall(World &world, CallId id, ResultCode code);
+void abortRelayedCall(World &world, CallId id, ResultCode code, UnansweredReason reason);
 
 // Ends a call and its attempts without a report to the caller.
 void removeCall(World &world, CallId id, ResultCode code);
--- a/src/ctl/request_timeline.cpp
+++ b/src/ctl/request_timeline.cpp
@@ -42,6 +42,9 @@
     {"NotReady", "the daemon had just started and had no configuration yet; it was not run"},
 }};
 
+// Events that report how a request ended for its caller.
+constexpr std::array<std::string_view, 5> FinalEvents{"call_failed", "call_answered", "call_aborted", "request_refused", "request_unanswered"};
+
 // Parses a line. Returns false when it is not a log line of a daemon.
 bool parseLine(const std::string &text, LogLine &line)
 {
@@ -94,8 +97,7 @@
 {
     const LogLine *end = nullptr;
     for (const LogLine &line : timeline.lines_) {
-        const bool isFinal
-            = line.event_ == "call_failed" || line.event_ == "call_answered" || line.event_ == "call_aborted" || line.event_ == "request_refused";
+        const bool isFinal = std::find(FinalEvents.begin(), FinalEvents.end(), line.event_) != FinalEvents.end();
         end = isFinal && line.request_ == timeline.request_ ? &line : end;
     }
     return end;
@@ -109,6 +111,10 @@
         text << "conclusion: no line says how the request ended; the daemon that accepted it may have failed, or its line was dropped\n";
         return;
     }
+    if (end->event_ == "request_unanswered") {
+        text << "conclusion: the caller got no complete response: " << end->field("reason") << "\n";
+        return;
+    }
     const std::string result = end->field("result");
     const auto found = std::find_if(Conclusions.begin(), Conclusions.end(), [&](const Conclusion &row) { return row.result_ == result; });
     text << "conclusion: " << (end->event_ == "call_answered" ? "answered" : result);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -106,7 +106,7 @@
 
 void Daemon::handle(const AbortCall &effect)
 {
-    callerServer_.abort(effect.call_);
+    callerServer_.abort(effect.call_, effect.reason_);
 }
 
 void Daemon::handle(const ReplyToOffer &effect)
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -5,6 +5,7 @@
 
 #include "fleet/instance_func.h"
 #include "table/counter_names.h"
+#include "table/unanswered_reasons.h"
 #include "wire/ticket_json.h"
 
 #include <boost/json.hpp>
@@ -32,6 +33,14 @@
     }
 }
 
+// Appends the number of requests without a complete response by reason.
+void addUnanswered(std::string &text, const Counters &counters)
+{
+    for (std::size_t index = 0; index < UnansweredReasonNames.size(); ++index) {
+        addLine(text, "unanswered_total{reason=\"" + std::string(UnansweredReasonNames[index]) + "\"}", counters.unanswered_[index]);
+    }
+}
+
 // Returns the labels of a traffic counter.
 std::string trafficLabels(const World &world, const TrafficKey &key)
 {
@@ -93,6 +102,7 @@
         addLine(text, std::string(CounterNames[index]) + "_total", world.counters_.values_[index]);
     }
     addResults(text, world.counters_);
+    addUnanswered(text, world.counters_);
     addTraffic(text, world);
     addFrontEndCounters(text, worldRunner.counters());
     addLatency(text, worldRunner.latency());
--- a/src/net/caller_request.cpp
+++ b/src/net/caller_request.cpp
@@ -17,11 +17,12 @@
 
 } // namespace
 
-CallerRequest::CallerRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::unique_ptr<Parser> parser, CallHandle handle)
+CallerRequest::CallerRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::unique_ptr<Parser> parser, CallHandle handle, std::uint64_t number)
     : stream_(stream)
     , buffer_(buffer)
     , parser_(std::move(parser))
     , handle_(handle)
+    , number_(number)
     , stateChanged_(stream.get_executor())
 {
 }
@@ -167,7 +168,7 @@
     http::response_serializer<http::empty_body> serializer(response);
     error_code errorCode;
     stream_.expires_after(StallTimeout);
-    co_await http::async_write_header(stream_, serializer, asio::redirect_error(asio::use_awaitable, errorCode));
+    countWritten(co_await http::async_write_header(stream_, serializer, asio::redirect_error(asio::use_awaitable, errorCode)));
     co_return !errorCode;
 }
 
@@ -187,6 +188,7 @@
     } else {
         co_await asio::async_write(stream_, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, errorCode));
     }
+    countWritten(errorCode ? 0 : bytes.size());
     co_return !errorCode;
 }
 
@@ -196,13 +198,15 @@
         co_return false;
     }
     if (!chunked_) {
+        answered_ = true;
         co_return true;
     }
     const PendingOperation operation(*this);
     error_code errorCode;
     stream_.expires_after(StallTimeout);
     co_await asio::async_write(stream_, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, errorCode));
-    co_return !errorCode;
+    answered_ = !errorCode;
+    co_return answered_;
 }
 
 bool CallerRequest::expectsBody(std::uint16_t status) const
@@ -221,22 +225,45 @@
     http::response_serializer<http::string_body> serializer(response);
     stream_.expires_after(StallTimeout);
     if (expectsBody(static_cast<std::uint16_t>(response.result_int()))) {
-        co_await http::async_write(stream_, serializer, asio::redirect_error(asio::use_awaitable, errorCode));
+        countWritten(co_await http::async_write(stream_, serializer, asio::redirect_error(asio::use_awaitable, errorCode)));
     } else {
-        co_await http::async_write_header(stream_, serializer, asio::redirect_error(asio::use_awaitable, errorCode));
+        countWritten(co_await http::async_write_header(stream_, serializer, asio::redirect_error(asio::use_awaitable, errorCode)));
     }
-    co_return !errorCode && keepAlive;
+    answered_ = !errorCode;
+    co_return answered_ &&keepAlive;
+}
+
+void CallerRequest::finish()
+{
+    failure_.reset();
+    end();
 }
 
-void CallerRequest::finish(std::optional<ResultCode> failure, bool abortConnection, Millis retryAfter)
+void CallerRequest::fail(ResultCode code, Millis retryAfter)
 {
+    failure_ = code;
     retryAfter_ = retryAfter;
+    end();
+}
+
+void CallerRequest::abort(UnansweredReason reason)
+{
+    failure_.reset();
+    aborted_ = reason;
+    end();
+}
+
+void CallerRequest::end()
+{
     finished_ = true;
-    failure_ = failure;
-    aborted_ = aborted_ || abortConnection;
     stateChanged_.notify();
 }
 
+void CallerRequest::countWritten(std::size_t size)
+{
+    written_ += Bytes(static_cast<std::int64_t>(size));
+}
+
 Task<> CallerRequest::waitUntilFinished()
 {
     while (!finished_) {
@@ -292,6 +319,31 @@
     return handle_;
 }
 
+std::uint64_t CallerRequest::number() const
+{
+    return number_;
+}
+
+void CallerRequest::setTrace(TraceId trace)
+{
+    trace_ = std::move(trace);
+}
+
+const TraceId &CallerRequest::trace() const
+{
+    return trace_;
+}
+
+Bytes CallerRequest::written() const
+{
+    return written_;
+}
+
+bool CallerRequest::isAnswered() const
+{
+    return answered_;
+}
+
 const std::string &CallerRequest::bufferedBody() const
 {
     return body_;
@@ -309,12 +361,12 @@
 
 bool CallerRequest::mustClose() const
 {
-    return aborted_ || !mayKeepAlive();
+    return isAborted() || !mayKeepAlive();
 }
 
 bool CallerRequest::isAborted() const
 {
-    return aborted_;
+    return aborted_.has_value();
 }
 
 bool CallerRequest::isFinished() const
--- a/src/net/caller_request.h
+++ b/src/net/caller_request.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "call/call_type.h"
+#include "call/unanswered_type.h"
 #include "core/result_code.h"
 #include "net/async_condition.h"
 #include "net/http_client_server.h"
@@ -25,8 +26,9 @@
 public:
     using Parser = http::request_parser<http::buffer_body>;
 
-    // The parser has read the request's header from the stream. All references must outlive the request.
-    CallerRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::unique_ptr<Parser> parser, CallHandle handle);
+    // The parser has read the request's header from the stream. All references must outlive the request. The number is the position of the request on
+    // its connection, from 1.
+    CallerRequest(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::unique_ptr<Parser> parser, CallHandle handle, std::uint64_t number);
 
     // Lets the request write its response. Until then, writes wait: responses leave in the order of their requests.
     void grantTurn();
@@ -68,10 +70,16 @@
     // Ends the response body. False when the caller has disconnected or the request is finished.
     Task<bool> writeEnd();
 
-    // Ends the request. With a code, the daemon writes a failure response; with abortConnection, the connection is closed.
-    void finish(std::optional<ResultCode> failure, bool abortConnection, Millis retryAfter = Millis());
+    // Ends the request after its response was written completely.
+    void finish();
 
-    // Waits until finish() was called, then cancels pending reads and writes and waits for their end.
+    // Ends the request. The daemon writes a failure response.
+    void fail(ResultCode code, Millis retryAfter);
+
+    // Ends the request. Its connection is closed without a complete response.
+    void abort(UnansweredReason reason);
+
+    // Waits until the request has ended, then cancels pending reads and writes and waits for their end.
     Task<> waitUntilFinished();
 
     // Builds the request head that is sent to the inbound daemon.
@@ -79,13 +87,28 @@
 
     [[nodiscard]] CallHandle handle() const;
 
+    // Position of the request on its connection, from 1.
+    [[nodiscard]] std::uint64_t number() const;
+
+    // Sets the trace id, which is known once the header was read.
+    void setTrace(TraceId trace);
+
+    // Empty when the header was not read.
+    [[nodiscard]] const TraceId &trace() const;
+
+    // Bytes of the response that were written, without the framing of chunks.
+    [[nodiscard]] Bytes written() const;
+
+    // True once a response was written to its end.
+    [[nodiscard]] bool isAnswered() const;
+
     // The complete body, when isBuffered() is true.
     [[nodiscard]] const std::string &bufferedBody() const;
 
     // True when the complete body is in memory.
     [[nodiscard]] bool isBuffered() const;
 
-    // The result code given to finish(), if any.
+    // The result code given to fail(), if any.
     [[nodiscard]] const std::optional<ResultCode> &failure() const;
 
     // False when a response with this status has no body, whatever its fields say: after HEAD, and for the statuses 204 and 304.
@@ -106,7 +129,7 @@
     // True when the connection is closed without a complete response.
     [[nodiscard]] bool isAborted() const;
 
-    // True once finish() was called.
+    // True once the request has ended.
     [[nodiscard]] bool isFinished() const;
 
 private:
@@ -140,10 +163,20 @@
     // Waits until the response may be written. False when the request is finished.
     Task<bool> mayWrite();
 
+    // Adds to the bytes of the response that were written.
+    void countWritten(std::size_t size);
+
+    // Marks the request as ended, and wakes waitUntilFinished().
+    void end();
+
     beast::tcp_stream &stream_;
     beast::flat_buffer &buffer_;
     std::unique_ptr<Parser> parser_;
     CallHandle handle_;
+    std::uint64_t number_ = 0;
+    TraceId trace_;
+    Bytes written_;
+    bool answered_ = false;
     // Buffered part of the body.
     std::string body_;
     bool buffered_ = false;
@@ -162,7 +195,8 @@
     bool hasTurn_ = false;
     // Number of reads and writes that have not ended.
     int pendingOperations_ = 0;
-    bool aborted_ = false;
+    // Why the connection is closed without a complete response, if it is.
+    std::optional<UnansweredReason> aborted_;
     bool closeAfterResponse_ = false;
     Millis retryAfter_;
     std::vector<HeaderField> fields_;
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -65,6 +65,12 @@
     return {static_cast<const char *>(buffer.data().data()), buffer.size()};
 }
 
+// Tells how the caller of a connection has left.
+UnansweredReason departureReason(tcp::socket &socket)
+{
+    return peerState(socket) == PeerState::Gone ? UnansweredReason::CallerReset : UnansweredReason::CallerClosed;
+}
+
 // Time by which a routed call must have its response; never() for other calls, whose limit the world determines.
 Millis responseDueAt(const CallArrived &event, Millis headerReadAt)
 {
@@ -119,17 +125,24 @@
 void CallerServer::fail(const FailCall &effect)
 {
     if (const auto request = find(effect.call_)) {
-        request->finish(effect.code_, false, effect.retryAfter_);
+        request->fail(effect.code_, effect.retryAfter_);
     }
 }
 
-void CallerServer::abort(CallHandle handle)
+void CallerServer::abort(CallHandle handle, UnansweredReason reason)
 {
-    if (const auto request = find(handle)) {
-        request->finish(std::nullopt, true);
+    const auto request = find(handle);
+    if (request && !request->isAborted()) {
+        reportUnanswered(*request, reason);
+        request->abort(reason);
     }
 }
 
+void CallerServer::reportUnanswered(const CallerRequest &request, UnansweredReason reason)
+{
+    worldRunner_.post(CallerDisconnected{request.handle(), request.trace(), reason, request.number(), request.written()});
+}
+
 std::size_t CallerServer::openRequestCount() const
 {
     return *openRequests_;
@@ -295,11 +308,11 @@
             co_await watch.wait();
         } else if (mayRead) {
             if (!readAvailable(*connection)) {
-                endPipeline(*connection);
+                endAbandoned(*connection);
             }
         } else {
             if (isClosedByPeer(connection->stream_.socket())) {
-                endPipeline(*connection);
+                endAbandoned(*connection);
             }
             // Unread bytes keep the socket readable.
             co_await watch.pause(DisconnectCheckInterval);
@@ -322,17 +335,22 @@
     return !errorCode || errorCode == asio::error::would_block;
 }
 
-void CallerServer::endPipeline(CallerConnection &connection)
+void CallerServer::endPipeline(CallerConnection &connection, UnansweredReason reason)
 {
     connection.isEnding_ = true;
     for (const auto &request : connection.pipeline_) {
         if (!request->isFinished()) {
-            worldRunner_.post(CallerDisconnected{request->handle()});
-            request->finish(std::nullopt, true);
+            reportUnanswered(*request, reason);
+            request->abort(reason);
         }
     }
 }
 
+void CallerServer::endAbandoned(CallerConnection &connection)
+{
+    endPipeline(connection, departureReason(connection.stream_.socket()));
+}
+
 Task<bool> CallerServer::serveRequest(ConnectionPtr connection)
 {
     const auto openRequest = std::make_shared<OpenRequest>(openRequests_);
@@ -343,7 +361,8 @@
     const error_code errorCode = co_await readHeader(connection, *parser);
     connection->isAwaitingHead_ = false;
     ++connection->requestCount_;
-    const auto request = std::make_shared<CallerRequest>(connection->stream_, connection->buffer_, std::move(parser), CallHandle(++lastHandle_));
+    const auto request
+        = std::make_shared<CallerRequest>(connection->stream_, connection->buffer_, std::move(parser), CallHandle(++lastHandle_), connection->requestCount_);
     if (!errorCode) {
         const bool mayKeepAlive = co_await serveCall(connection, request, openRequest);
         connection->isAwaitingHead_ = mayKeepAlive;
@@ -361,6 +380,8 @@
         ++worldRunner_.counters().badRequests_;
         request->closeAfterResponse();
         co_await rejectRequest(connection, request, ResultCode::BadRequest, TraceId());
+    } else {
+        reportUnanswered(*request, UnansweredReason::HeadIncomplete);
     }
     co_return false;
 }
@@ -370,7 +391,11 @@
     connection->hasResponded_ = true;
     worldRunner_.post(RequestRefused{code, trace});
     const CallFailure failure{code, trace.value(), retryDelay(worldRunner_.world(), code, random_.uniformReal()), false};
-    co_return co_await writeFailure(request, failure);
+    const bool mayKeepAlive = co_await writeFailure(request, failure);
+    if (!request->isAnswered()) {
+        reportUnanswered(*request, UnansweredReason::ResponseNotTaken);
+    }
+    co_return mayKeepAlive;
 }
 
 Task<bool> CallerServer::writeFailure(std::shared_ptr<CallerRequest> request, CallFailure failure)
@@ -402,6 +427,7 @@
         parsedHeader = adapter_.readCall(worldRunner_.world(), request->header());
     }
     const TraceId trace = parsedHeader.event_.trace_;
+    request->setTrace(trace);
     if (parsedHeader.code_ != ResultCode::Ok) {
         co_return co_await rejectRequest(connection, request, parsedHeader.code_, trace);
     }
@@ -421,11 +447,13 @@
     if (isClosedByPeer(connection->stream_.socket())) {
         // The caller left while its request waited to be read.
         worldRunner_.post(RequestRefused{ResultCode::Withdrawn, trace});
-        endPipeline(*connection);
+        reportUnanswered(*request, departureReason(connection->stream_.socket()));
+        endAbandoned(*connection);
         co_return false;
     }
     parsedHeader.event_.bodyTime_ = WorldRunner::now() - headerReadAt;
     completeEvent(parsedHeader.event_, *request, request->header()["traceparent"]);
+    request->setTrace(parsedHeader.event_.trace_);
     start(*connection, request, parsedHeader.event_);
     asio::co_spawn(acceptor_.get_executor(), respond(connection, request, parsedHeader.event_.trace_, openRequest), asio::detached);
     if (!runsBesideOthers) {
@@ -475,11 +503,14 @@
             const CallFailure failure{*request->failure(), trace.value(), request->retryAfter(), false};
             mayKeepAlive = co_await writeFailure(request, failure);
         }
+        if (!request->isAborted() && !request->isAnswered()) {
+            reportUnanswered(*request, UnansweredReason::ResponseNotTaken);
+        }
         connection->isEnding_ = connection->isEnding_ || !mayKeepAlive;
     }
     connection->pipeline_.pop_front();
     if (connection->isEnding_) {
-        endPipeline(*connection);
+        endPipeline(*connection, UnansweredReason::ConnectionEnding);
     }
     if (!connection->pipeline_.empty()) {
         connection->pipeline_.front()->grantTurn();
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -67,8 +67,8 @@
     // Ends a call with a failure response created by the daemon. Does nothing when the call has ended.
     void fail(const FailCall &effect);
 
-    // Aborts the connection of a call. Does nothing when the call has ended.
-    void abort(CallHandle handle);
+    // Closes the connection of a call without a complete response, and posts CallerDisconnected. Does nothing when the call has ended.
+    void abort(CallHandle handle, UnansweredReason reason);
 
     // Refuses all requests that are not calls yet, also those that arrive later, and closes idle connections. Calls are served to their end.
     void startDraining();
@@ -132,8 +132,14 @@
     // Reads the bytes that have arrived. False when the caller has left.
     bool readAvailable(CallerConnection &connection);
 
-    // Cancels the requests of a connection that will get no response.
-    void endPipeline(CallerConnection &connection);
+    // Aborts the requests of a connection that will get no response.
+    void endPipeline(CallerConnection &connection, UnansweredReason reason);
+
+    // Aborts the requests of a connection whose caller has left.
+    void endAbandoned(CallerConnection &connection);
+
+    // Reports to the world that the caller of a request gets no complete response.
+    void reportUnanswered(const CallerRequest &request, UnansweredReason reason);
 
     // Reads and discards what the caller still sends after the last response.
     Task<> discardInput(ConnectionPtr connection);
--- a/src/net/exchange_client.cpp
+++ b/src/net/exchange_client.cpp
@@ -267,8 +267,7 @@
     }
     const auto request = callers_.find(exchange->call_);
     if (!request || !co_await request->writeChunk(chunk.bytes_)) {
-        worldRunner_.post(CallerDisconnected{exchange->call_});
-        callers_.abort(exchange->call_);
+        callers_.abort(exchange->call_, UnansweredReason::ResponseNotTaken);
         exchange->connection_->close();
     }
     co_return false;
@@ -295,8 +294,11 @@
         request = callers_.find(exchange->call_);
     }
     if (request) {
-        const bool written = co_await request->writeEnd();
-        request->finish(std::nullopt, !written);
+        if (co_await request->writeEnd()) {
+            request->finish();
+        } else {
+            callers_.abort(exchange->call_, UnansweredReason::ResponseNotTaken);
+        }
     }
     worldRunner_.post(ResponseCompleted{exchange->attempt_, end.report_});
     co_return true;
@@ -318,8 +320,7 @@
     const std::string buffered = std::exchange(exchange->responseBody_, std::string());
     const bool written = co_await request->writeHead(exchange->responseHead_) && co_await request->writeChunk(buffered);
     if (!written) {
-        worldRunner_.post(CallerDisconnected{exchange->call_});
-        request->finish(std::nullopt, true);
+        callers_.abort(exchange->call_, UnansweredReason::ResponseNotTaken);
     }
     co_return written;
 }
@@ -341,8 +342,7 @@
         std::optional<std::string> chunk = co_await request->readChunk();
         if (!chunk) {
             // The caller's body is truncated. BodyEnd is not sent, so the inbound daemon cannot take the body as complete.
-            worldRunner_.post(CallerDisconnected{exchange->call_});
-            callers_.abort(exchange->call_);
+            callers_.abort(exchange->call_, UnansweredReason::BodyIncomplete);
             connection->close();
             co_return;
         }
--- a/src/world/counters.h
+++ b/src/world/counters.h
@@ -1,6 +1,7 @@
 // Counters of decisions, results and traffic.
 #pragma once
 
+#include "call/unanswered_type.h"
 #include "core/result_code.h"
 #include "fleet/datagram_type.h"
 
@@ -57,6 +58,8 @@
     std::array<std::uint64_t, static_cast<std::size_t>(Counter::Count)> values_{};
     // Results returned to callers and to outbound sides, by code.
     std::map<ResultCode, std::uint64_t> results_;
+    // Requests whose callers got no complete response, indexed by UnansweredReason.
+    std::array<std::uint64_t, static_cast<std::size_t>(UnansweredReason::Count)> unanswered_{};
     // Outgoing messages counted by the emit system.
     std::map<TrafficKey, Traffic> traffic_;
 
@@ -66,11 +69,23 @@
         ++values_[static_cast<std::size_t>(counter)];
     }
 
+    // Counts a request whose caller got no complete response.
+    void add(UnansweredReason reason)
+    {
+        ++unanswered_[static_cast<std::size_t>(reason)];
+    }
+
     // Value of a counter since the start.
     [[nodiscard]] std::uint64_t get(Counter counter) const
     {
         return values_[static_cast<std::size_t>(counter)];
     }
+
+    // Number of requests whose callers got no complete response for this reason.
+    [[nodiscard]] std::uint64_t get(UnansweredReason reason) const
+    {
+        return unanswered_[static_cast<std::size_t>(reason)];
+    }
 };
 
 } // namespace radishford
--- a/src/world/decision_log.cpp
+++ b/src/world/decision_log.cpp
@@ -3,6 +3,7 @@
 
 #include "call/attempt_func.h"
 #include "core/hash.h"
+#include "table/unanswered_reasons.h"
 #include "world/world.h"
 
 #include <string>
@@ -96,16 +97,30 @@
     world.emit(LogDecision{"call_failed", call.trace_, std::move(fields)});
 }
 
-void logCallAborted(World &world, const Call &call)
+void logCallAborted(World &world, const Call &call, ResultCode code, UnansweredReason reason)
 {
     std::vector<LogField> fields;
-    const bool maybeRan = call.mayHaveRun_ || anyMayRun(world, call);
-    appendResult(fields, maybeRan ? ResultCode::AnswerLost : ResultCode::DaemonLeaving);
+    appendResult(fields, code);
+    fields.push_back({"reason", std::string(nameOf(reason))});
     fields.push_back({"last", std::string(resultCodeInfo(call.lastFailureCode_).name_)});
     appendProgress(fields, world, call);
     world.emit(LogDecision{"call_aborted", call.trace_, std::move(fields)});
 }
 
+void logUnanswered(World &world, const CallerDisconnected &event, const Call *call)
+{
+    std::vector<LogField> fields;
+    fields.push_back({"reason", std::string(nameOf(event.reason_))});
+    fields.push_back({"number_on_connection", std::to_string(event.numberOnConnection_)});
+    fields.push_back({"written", std::to_string(event.written_.value())});
+    if (call != nullptr) {
+        const bool maybeRan = call->mayHaveRun_ || anyMayRun(world, *call);
+        fields.push_back({"may_have_run", maybeRan ? "true" : "false"});
+        appendProgress(fields, world, *call);
+    }
+    world.emit(LogDecision{"request_unanswered", event.trace_, std::move(fields)});
+}
+
 void logCallCompleted(World &world, const Call &call, const Attempt &attempt)
 {
     if (!isSampled(call.trace_)) {
--- a/src/world/decision_log.h
+++ b/src/world/decision_log.h
@@ -5,6 +5,7 @@
 #include "call/exchange_type.h"
 #include "core/result_code.h"
 #include "core/units_type.h"
+#include "world/event_type.h"
 
 namespace radishford {
 
@@ -19,8 +20,11 @@
 // Logs a call that ended with a failure created by this daemon.
 void logCallFailed(World &world, const Call &call, ResultCode code);
 
-// Logs a call whose connection is closed because this daemon exits.
-void logCallAborted(World &world, const Call &call);
+// Logs a call whose connection is closed while its response is being relayed, with the reason.
+void logCallAborted(World &world, const Call &call, ResultCode code, UnansweredReason reason);
+
+// Logs a request whose caller got no complete response. The call is nullptr when it has ended before.
+void logUnanswered(World &world, const CallerDisconnected &event, const Call *call);
 
 // Logs a call that completed with a response if it is in the sample, which is the same on all daemons.
 void logCallCompleted(World &world, const Call &call, const Attempt &attempt);
--- a/src/world/effect_type.h
+++ b/src/world/effect_type.h
@@ -3,6 +3,7 @@
 
 #include "call/call_type.h"
 #include "call/exchange_type.h"
+#include "call/unanswered_type.h"
 #include "core/address.h"
 #include "core/result_code.h"
 #include "fleet/datagram_type.h"
@@ -57,6 +58,7 @@
 // Close the caller's connection, because its response cannot be completed.
 struct AbortCall {
     CallHandle call_;
+    UnansweredReason reason_ = UnansweredReason::ResponseCut;
 };
 
 // Reply to an offer.
--- a/src/world/event_type.h
+++ b/src/world/event_type.h
@@ -3,6 +3,7 @@
 
 #include "call/call_type.h"
 #include "call/exchange_type.h"
+#include "call/unanswered_type.h"
 #include "core/address.h"
 #include "core/result_code.h"
 #include "fleet/datagram_type.h"
@@ -10,6 +11,7 @@
 #include "ticket/ticket_type.h"
 #include "world/world_settings.h"
 
+#include <cstdint>
 #include <string>
 #include <variant>
 #include <vector>
@@ -48,9 +50,16 @@
     TraceId trace_;
 };
 
-// The caller closed its connection before the response was complete.
+// A caller's connection has ended, or is closed by the front end, before the response to a request was complete.
 struct CallerDisconnected {
     CallHandle handle_;
+    // Empty when the trace headers had not been read.
+    TraceId trace_{};
+    UnansweredReason reason_ = UnansweredReason::CallerClosed;
+    // Position of the request on its connection, from 1. Higher numbers are requests of kept connections.
+    std::uint64_t numberOnConnection_ = 0;
+    // Bytes of the response that were written, without the framing of chunks.
+    Bytes written_{};
 };
 
 // The inbound side replied to an offer.
--- a/src/world/shutdown.cpp
+++ b/src/world/shutdown.cpp
@@ -7,7 +7,6 @@
 #include "fleet/gossip_func.h"
 #include "store/claim_func.h"
 #include "ticket/ticket_func.h"
-#include "world/decision_log.h"
 #include "world/world.h"
 
 #include <algorithm>
@@ -122,14 +121,11 @@
 {
     const auto isOpen = [](const World & /*table*/, const Call & /*call*/) { return true; };
     for (const CallId id : openCalls(world, isOpen)) {
-        const Call &call = *world.calls_.calls_.get(id);
-        if (call.state_ != CallState::Relaying) {
+        if (world.calls_.calls_.get(id)->state_ == CallState::Relaying) {
+            abortRelayedCall(world, id, ResultCode::AnswerLost, UnansweredReason::ShutdownOverdue);
+        } else {
             failCall(world, id, ResultCode::DaemonLeaving);
-            continue;
         }
-        logCallAborted(world, call);
-        world.emit(AbortCall{call.handle_});
-        removeCall(world, id, ResultCode::AnswerLost);
     }
 }
 
