--- a/test/platform_unanswered_test.cpp
+++ b/test/platform_unanswered_test.cpp
@@ -1,7 +1,6 @@
 // Connections of callers that end without a complete response, over real sockets: what is counted, and what must not end so.
 #define BOOST_TEST_MODULE platform_unanswered
-#include "standin/daemon_fixture.h"
-#include "standin/peer.h"
+#include "standin/kept_connection.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -11,24 +10,6 @@
 
 namespace {
 
-// More than is buffered before a call starts, so that the rest is passed on while it arrives.
-constexpr std::size_t StreamedBytes = std::size_t{1} << 20U;
-// Part of such a body that is sent first.
-constexpr std::size_t FirstBytes = std::size_t{700} << 10U;
-
-// A request head with an id, a time limit in milliseconds and the length of the body.
-std::string requestHead(const std::string &method, const std::string &target, const std::string &id, int limit, std::size_t length)
-{
-    return method + " " + target + " HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: " + std::to_string(limit)
-        + "\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
-}
-
-// A response by which the backend server states that it does not run the request.
-std::string refusal()
-{
-    return "HTTP/1.1 503 Full\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-}
-
 // Number of requests that were counted as unanswered for a reason.
 std::uint64_t unanswered(DaemonFixture &fixture, UnansweredReason reason)
 {
@@ -42,36 +23,6 @@
     return std::accumulate(counts.begin(), counts.end(), std::uint64_t{0});
 }
 
-// A connection on which one request was answered.
-class KeptConnection : public Peer
-{
-public:
-    explicit KeptConnection(DaemonFixture &fixture)
-        : Peer(fixture)
-        , fixture_(fixture)
-    {
-        write(requestHead("GET", "/r/first", "first", 1200, 0));
-        BOOST_REQUIRE(fixture.runUntil([&]() { return responses().size() == 1; }));
-        BOOST_REQUIRE(responses()[0].result_int() == 200U);
-    }
-
-    // Waits until the second response is complete or the connection has ended. Returns its status; zero without a response.
-    unsigned awaitStatus(Millis timeout = Millis(4000))
-    {
-        fixture_.runUntil([&]() { return responses().size() > 1 || received().ended_; }, timeout);
-        return responses().size() > 1 ? responses()[1].result_int() : 0;
-    }
-
-private:
-    DaemonFixture &fixture_;
-};
-
-// Waits until the backend server has received a number of requests.
-bool awaitRequests(DaemonFixture &fixture, std::size_t count)
-{
-    return fixture.runUntil([&]() { return fixture.receivedRequests_.size() >= count; });
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_caller_that_closes_or_resets_before_its_response_is_counted)
