Uploads: the end of a call no longer counts as the end of its caller

Callers of uploads above 512 KiB on kept connections got no response when their call ended while the body arrived: a refusal, a failure or the time limit (LOST).

Cause: two events end a request, and the later one won. The end of a call sets its failure and cancels the pending read of the body. That read belongs to the coroutine that passes the body on, which took the cancelled read for a body that ended early and aborted the connection; the abort replaced the failure. In the other order, a body that is complete first, nothing is cancelled. An early complete response was marked as aborted in the same way, so that what the caller still sent was not read, and a reset could destroy the response.

Change: the first end of a request decides, and a body is passed on only while its exchange lasts. So it also no longer writes to, or closes, a connection between daemons that another exchange has taken meanwhile.

The test closes and resets before the body is read; in its first form these two cases only reached the time limit.

--- a/src/net/caller_request.cpp
+++ b/src/net/caller_request.cpp
@@ -235,22 +235,24 @@
 
 void CallerRequest::finish()
 {
-    failure_.reset();
     end();
 }
 
 void CallerRequest::fail(ResultCode code, Millis retryAfter)
 {
-    failure_ = code;
-    retryAfter_ = retryAfter;
-    end();
+    if (!finished_) {
+        failure_ = code;
+        retryAfter_ = retryAfter;
+        end();
+    }
 }
 
 void CallerRequest::abort(UnansweredReason reason)
 {
-    failure_.reset();
-    aborted_ = reason;
-    end();
+    if (!finished_) {
+        aborted_ = reason;
+        end();
+    }
 }
 
 void CallerRequest::end()
--- a/src/net/caller_request.h
+++ b/src/net/caller_request.h
@@ -70,13 +70,13 @@
     // Ends the response body. False when the caller has disconnected or the request is finished.
     Task<bool> writeEnd();
 
-    // Ends the request after its response was written completely.
+    // Ends the request after its response was written completely. Of several ends, the first one decides.
     void finish();
 
-    // Ends the request. The daemon writes a failure response.
+    // Ends the request. The daemon writes a failure response. Does nothing when the request has ended.
     void fail(ResultCode code, Millis retryAfter);
 
-    // Ends the request. Its connection is closed without a complete response.
+    // Ends the request. Its connection is closed without a complete response. Does nothing when the request has ended.
     void abort(UnansweredReason reason);
 
     // Waits until the request has ended, then cancels pending reads and writes and waits for their end.
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -132,7 +132,7 @@
 void CallerServer::abort(CallHandle handle, UnansweredReason reason)
 {
     const auto request = find(handle);
-    if (request && !request->isAborted()) {
+    if (request && !request->isFinished()) {
         reportUnanswered(*request, reason);
         request->abort(reason);
     }
--- a/src/net/exchange_client.cpp
+++ b/src/net/exchange_client.cpp
@@ -32,6 +32,12 @@
         frame);
 }
 
+// True when an exchange has ended or been abandoned, so that nothing more may be sent for it.
+bool isOver(const OutboundExchange &exchange)
+{
+    return exchange.abandoned_ || !exchange.connection_;
+}
+
 } // namespace
 
 ExchangeClient::ExchangeClient(WorldRunner &worldRunner, CallerServer &callers)
@@ -340,6 +346,10 @@
     std::uint64_t sent = 0;
     for (;;) {
         std::optional<std::string> chunk = co_await request->readChunk();
+        if (isOver(*exchange)) {
+            // The connection may already carry another exchange.
+            co_return;
+        }
         if (!chunk) {
             // The caller's body is truncated. BodyEnd is not sent, so the inbound daemon cannot take the body as complete.
             callers_.abort(exchange->call_, UnansweredReason::BodyIncomplete);
@@ -352,7 +362,7 @@
         sent += chunk->size();
         connection->send(BodyChunk{exchange->attempt_.packed(), std::move(*chunk)});
         co_await connection->waitUntilDrained();
-        if (exchange->abandoned_ || !connection->isOpen()) {
+        if (isOver(*exchange) || !connection->isOpen()) {
             co_return;
         }
     }
--- a/test/platform_streamed_upload_test.cpp
+++ b/test/platform_streamed_upload_test.cpp
@@ -42,6 +42,7 @@
             KeptConnection caller(fixture);
             ScriptedResponse response = row.response_;
             response.respondsBeforeBody_ = endsFirst;
+            response.endsBeforeBody_ = endsFirst && response.afterResponse_ != AfterResponse::KeepOpen;
             fixture.scriptedResponses_.push_back(response);
             const std::size_t firstBytes = endsFirst ? FirstBytes : StreamedBytes;
             caller.write(requestHead("POST", "/u/1", "a1", LongLimit, StreamedBytes) + std::string(firstBytes, 'b'));
--- a/test/standin/daemon_fixture.h
+++ b/test/standin/daemon_fixture.h
@@ -43,6 +43,8 @@
     Millis lateDelay_{20};
     // Pause before the body is read.
     Millis bodyReadDelay_{};
+    // True when afterResponse_ applies before the body is read.
+    bool endsBeforeBody_ = false;
 };
 
 // A request as the scripted backend server received it.
@@ -415,6 +417,10 @@
                 asio::steady_timer timer(context_, toChrono(response.bodyReadDelay_));
                 co_await timer.async_wait(asio::use_awaitable);
             }
+            if (response.endsBeforeBody_) {
+                endConnection(socket, response.afterResponse_);
+                co_return;
+            }
             co_await http::async_read(socket, buffer, parser, asio::redirect_error(asio::use_awaitable, errorCode));
             receivedRequests_[number].message_ = parser.get();
             if (!errorCode && !response.respondsBeforeBody_) {
@@ -436,12 +442,8 @@
                 asio::steady_timer timer(context_, toChrono(response.repeatInterval_));
                 co_await timer.async_wait(asio::use_awaitable);
             }
-            if (response.afterResponse_ == AfterResponse::Reset) {
-                socket.set_option(asio::socket_base::linger(true, 0), errorCode);
-                // Closed here, since the linger option has no effect on a socket that is destroyed while open.
-                socket.close(errorCode);
-            }
             if (response.afterResponse_ != AfterResponse::KeepOpen) {
+                endConnection(socket, response.afterResponse_);
                 co_return;
             }
             if (!errorCode && response.bytes_.empty()) {
@@ -452,6 +454,17 @@
         }
     }
 
+    // Closes or resets a connection of the backend server.
+    static void endConnection(tcp::socket &socket, AfterResponse how)
+    {
+        error_code ignored;
+        if (how == AfterResponse::Reset) {
+            socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
+        // Closed here, since the linger option has no effect on a socket that is destroyed while open.
+        socket.close(ignored);
+    }
+
     // Replaces "{id}" in a response by the request's Attempt-Id.
     std::string insertAttemptId(std::string text, std::size_t number) const
     {
