Log: a daemon runs on when the reader of its standard output ends

Cause: the log writes to standard output with write(). Once the reader of that pipe has ended, the next line raises SIGPIPE, whose default action ends the process with all requests of its kept connections (src/daemon/log.cpp, NonBlockingAppender::append). poll() reports the pipe as writable then.

Sockets are not affected, Asio writes to them without the signal.

--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -15,6 +15,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <csignal>
 
 namespace radishford {
 
@@ -110,6 +111,8 @@
 void initializeLog(const std::string &instance)
 {
     state().instance_ = instance;
+    // Without a reader of standard output a write fails, and its line is dropped. The signal would end the process.
+    std::signal(SIGPIPE, SIG_IGN);
     log4cplus::SharedAppenderPtr appender(new NonBlockingAppender());
     logger().addAppender(appender);
     logger().setLogLevel(log4cplus::INFO_LOG_LEVEL);
--- a/test/standin/daemon_process.h
+++ b/test/standin/daemon_process.h
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -22,7 +23,8 @@
 {
 public:
     // Starts the process. Descriptors that are open now are inherited, so that it is started before the test opens sockets.
-    DaemonProcess(const std::string &program, const std::string &settings)
+    // Without a reader of its standard output, the log contains only standard error.
+    DaemonProcess(const std::string &program, const std::string &settings, bool hasOutputReader = true)
         : folder_(makeFolder())
     {
         writeSettings(settings);
@@ -30,7 +32,7 @@
         if (process_ == 0) {
             prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int log = open(logPath().c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
-            dup2(log, STDOUT_FILENO);
+            dup2(hasOutputReader ? log : openPipeWithoutReader(), STDOUT_FILENO);
             dup2(log, STDERR_FILENO);
             execl(program.c_str(), program.c_str(), "--platform-settings", settingsPath().c_str(), nullptr);
             _exit(127);
@@ -88,6 +90,17 @@
     }
 
 private:
+    // Returns the end for writing of a pipe whose other end is closed.
+    static int openPipeWithoutReader()
+    {
+        std::array<int, 2> ends{};
+        if (pipe(ends.data()) != 0) {
+            _exit(127);
+        }
+        close(ends[0]);
+        return ends[1];
+    }
+
     static std::filesystem::path makeFolder()
     {
         std::string folder = (std::filesystem::temp_directory_path() / "radishford-test-XXXXXX").string();
