Calls: a response that has arrived is not given up for a time that is over

A caller's kept connection was closed without a response although its response was there (LOST): the time limit and the arrival of the response fell into one tick of a daemon that had been held up for 0.1 s, or the daemon was held up between the start of the relay and the writes. Responses of any size were concerned. The same happened to a whole response at the latest exit of a daemon.

Cause: the end of a relay was a fixed time, 0.1 s after the time limit, that did not follow what was there to be relayed. A tick handles events before timers, so that it started the relay and gave it up at once; the relay's writes run after the tick. In the other order, the timer in an earlier tick, the caller gets 504.

Change: a response that has arrived whole is always written, within the front end's limit for writes; at the latest exit the front end has until then. The relay of other responses ends 0.1 s after the tick that notices the time limit. Responses of which more is to come are cut as before.

--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -488,6 +488,7 @@
     attempt->state_ = AttemptState::Relaying;
     Call &call = *world.calls_.calls_.get(attempt->call_);
     call.state_ = CallState::Relaying;
+    call.hasWholeResponse_ = event.isWhole_;
     world.emit(RelayResponse{call.handle_, event.attempt_});
 }
 
--- a/src/call/call_base.h
+++ b/src/call/call_base.h
@@ -62,6 +62,10 @@
     bool isRetryScheduled_ = false;
     // Result code of the latest failed attempt.
     ResultCode lastFailureCode_ = ResultCode::NoBackend;
+    // True while a response that has arrived whole is being written to the caller.
+    bool hasWholeResponse_ = false;
+    // Time at which the relay of a response that has not arrived whole is given up; never() before the time limit.
+    Millis relayEndsAt_ = Millis::never();
     // True when some attempt that has ended may have run the request.
     bool mayHaveRun_ = false;
     // Number of backend servers that failed while they ran this call.
--- a/src/call/call_cmd.cpp
+++ b/src/call/call_cmd.cpp
@@ -34,7 +34,7 @@
 constexpr Millis CapacityRetryDelay{15};
 // The delay grows with each retry up to this multiple.
 constexpr std::int32_t MaxCapacityBackoff = 6;
-// The end of a response may arrive this long after the time limit of its call, since the backend server may respond until then.
+// The end of a response may arrive this long after the time limit of its call was noticed, since the backend server may respond until then.
 constexpr Millis RelayGracePeriod{100};
 // A call may spend one part in this many of its time limit on the search for a backend server.
 constexpr std::int64_t RoutingTimeDivisor = 4;
@@ -337,15 +337,17 @@
 
 namespace {
 
-// Aborts the relay of a routed call whose time limit is over, or waits a little longer for the rest of the response.
-void limitRelay(World &world, CallId id, const Call &call)
+// Aborts the relay of a routed call whose time limit is over, or waits a little longer for the rest of the response. A response that has arrived whole is
+// always written; the front end limits the time of a write.
+void limitRelay(World &world, CallId id, Call &call)
 {
-    if (!call.routed_) {
+    if (!call.routed_ || call.hasWholeResponse_) {
         return;
     }
-    const Millis end = call.deadline_ + RelayGracePeriod;
-    if (world.now_ < end) {
-        world.timers_.add(end, TimerKind::CallDeadline, id.packed());
+    if (call.relayEndsAt_ == Millis::never()) {
+        // Counted from now: a daemon that was held up may not have relayed yet what has arrived.
+        call.relayEndsAt_ = world.now_ + RelayGracePeriod;
+        world.timers_.add(call.relayEndsAt_, TimerKind::CallDeadline, id.packed());
         return;
     }
     abortRelayedCall(world, id, ResultCode::DeadlineUnknown, UnansweredReason::RelayOverdue);
--- a/src/net/exchange_client.cpp
+++ b/src/net/exchange_client.cpp
@@ -266,7 +266,7 @@
         if (exchange->responseBody_.size() <= MaxBufferedResponseBytes) {
             co_return false;
         }
-        if (!co_await beginRelay(exchange)) {
+        if (!co_await beginRelay(exchange, false)) {
             exchange->connection_->close();
         }
         co_return false;
@@ -294,7 +294,7 @@
             exchange->responseHead_.hasLength_ = true;
             exchange->responseHead_.length_ = exchange->responseBytes_;
         }
-        if (!co_await beginRelay(exchange)) {
+        if (!co_await beginRelay(exchange, true)) {
             co_return true;
         }
         request = callers_.find(exchange->call_);
@@ -310,9 +310,9 @@
     co_return true;
 }
 
-Task<bool> ExchangeClient::beginRelay(ExchangePtr exchange)
+Task<bool> ExchangeClient::beginRelay(ExchangePtr exchange, bool isWhole)
 {
-    worldRunner_.post(ResponseStarted{exchange->attempt_});
+    worldRunner_.post(ResponseStarted{exchange->attempt_, isWhole});
     // The tick that handles the event runs before this coroutine resumes, since both run in order on one thread.
     co_await asio::post(worldRunner_.context(), asio::use_awaitable);
     const auto request = callers_.find(exchange->call_);
--- a/src/net/exchange_client.h
+++ b/src/net/exchange_client.h
@@ -90,8 +90,9 @@
     Task<bool> handleResponseChunk(ExchangePtr exchange, BodyChunk chunk);
     Task<bool> handleResponseEnd(ExchangePtr exchange, ResponseEnd end);
 
-    // Asks the world to choose this attempt and writes the buffered part of the response to the caller. False when the response is not relayed.
-    Task<bool> beginRelay(ExchangePtr exchange);
+    // Asks the world to choose this attempt and writes the buffered part of the response, or the whole of it, to the caller. False when the response is
+    // not relayed.
+    Task<bool> beginRelay(ExchangePtr exchange, bool isWhole);
 
     // Sends head and body of the request to the peer.
     Task<> sendBody(ExchangePtr exchange);
--- a/src/world/event_type.h
+++ b/src/world/event_type.h
@@ -80,9 +80,10 @@
     ResultCode code_ = ResultCode::AnswerLost;
 };
 
-// The head of a response arrived.
+// A response arrived: the whole of it, or its head and as much of its body as is buffered.
 struct ResponseStarted {
     AttemptId attempt_;
+    bool isWhole_ = false;
 };
 
 // The complete response arrived.
--- a/src/world/shutdown.cpp
+++ b/src/world/shutdown.cpp
@@ -116,12 +116,17 @@
     }
 }
 
-// Ends all open calls: with a failure response, or by closing the connection when a part of the response has been sent.
+// Ends all open calls whose responses are not there: with a failure response, or by closing the connection when a part of the response has been sent.
 void endOpenCalls(World &world)
 {
     const auto isOpen = [](const World & /*table*/, const Call & /*call*/) { return true; };
     for (const CallId id : openCalls(world, isOpen)) {
-        if (world.calls_.calls_.get(id)->state_ == CallState::Relaying) {
+        const Call &call = *world.calls_.calls_.get(id);
+        if (call.hasWholeResponse_) {
+            // The front end writes it until the latest exit.
+            continue;
+        }
+        if (call.state_ == CallState::Relaying) {
             abortRelayedCall(world, id, ResultCode::AnswerLost, UnansweredReason::ShutdownOverdue);
         } else {
             failCall(world, id, ResultCode::DaemonLeaving);
