Callers: a single lost keep-alive probe no longer ends a connection

A caller that waited for more than a second lost its connection, without a response, when one packet was lost: the kernel sends keep-alive probes after a second without traffic, does not repeat a lost one, and gave the connection up after the first that stayed unanswered. Callers may now leave four unanswered; the limit of one stays towards daemons and backend servers, where a silent connection holds requests that could go another way.

--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -198,7 +198,7 @@
 {
     portUsedAt_ = WorldRunner::now();
     // No user timeout: a caller may stop reading for a while. CallerRequest limits the time of a write.
-    setIdleOptions(socket);
+    setIdleOptions(socket, MaxUnansweredByCaller);
     // For readAvailable(). Fails only on a socket that is already closed; its next use reports the error.
     error_code ignored;
     socket.non_blocking(true, ignored);
--- a/src/net/socket_options.h
+++ b/src/net/socket_options.h
@@ -7,13 +7,18 @@
 
 namespace radishford {
 
-// Disables Nagle's algorithm, and sets TCP keep-alive so that an idle connection fails after about two seconds without an acknowledgement.
-inline void setIdleOptions(tcp::socket &socket)
+// Number of keep-alive probes, one second apart, that a peer may leave unanswered. Another daemon that is silent holds requests that could go elsewhere.
+constexpr int MaxUnansweredByDaemon = 1;
+// A caller keeps its request when single packets are lost, since probes are not sent again.
+constexpr int MaxUnansweredByCaller = 4;
+
+// Disables Nagle's algorithm, and sets TCP keep-alive so that an idle connection fails one second and one more for each probe after the last
+// acknowledgement.
+inline void setIdleOptions(tcp::socket &socket, int maxUnansweredProbes = MaxUnansweredByDaemon)
 {
-    // Idle seconds before the first keep-alive probe, seconds between probes, and unanswered probes before the connection fails.
+    // Idle seconds before the first keep-alive probe, and seconds between probes.
     constexpr int ProbeIdleSeconds = 1;
     constexpr int ProbeIntervalSeconds = 1;
-    constexpr int MaxUnansweredProbes = 1;
     using Idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
     using Interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
     using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
@@ -22,7 +27,7 @@
     socket.set_option(asio::socket_base::keep_alive(true), ignored);
     socket.set_option(Idle(ProbeIdleSeconds), ignored);
     socket.set_option(Interval(ProbeIntervalSeconds), ignored);
-    socket.set_option(Count(MaxUnansweredProbes), ignored);
+    socket.set_option(Count(maxUnansweredProbes), ignored);
 }
 
 // Sets the options of setIdleOptions() and the TCP user timeout, so that a connection also fails when its peer does not acknowledge or accept bytes.
