Callers: who can still read is told how the request ended

Two ends of a request closed its connection without a response although the caller could still be told: a body that turned out malformed or too large while it was passed on, and a caller that closed its sending side only. Both were handled like a caller that has left.

The front end now tells a broken connection from one whose caller sends nothing more. A caller that closed its sending side gets a failure response that says whether the request may have run; its attempts are cancelled as before, since a closed connection cannot be told from a half-closed one; a response that is already being relayed goes on. Each request counts once as unanswered.

--- a/src/call/call_cmd.cpp
+++ b/src/call/call_cmd.cpp
@@ -315,14 +315,37 @@
 
 void handle(World &world, const CallerDisconnected &event)
 {
+    const auto found = world.calls_.byHandle_.find(event.handle_);
+    const Call *call = found == world.calls_.byHandle_.end() ? nullptr : world.calls_.calls_.get(found->second);
+    const bool mayRead = event.reason_ == UnansweredReason::CallerClosed;
+    if (mayRead && call != nullptr && call->state_ == CallState::Relaying) {
+        // The next write tells whether the caller still reads.
+        return;
+    }
     world.counters_.add(event.reason_);
+    logUnanswered(world, event, call);
+    if (call == nullptr) {
+        return;
+    }
+    if (mayRead) {
+        const bool maybeRan = call->mayHaveRun_ || anyMayRun(world, *call);
+        world.emit(FailCall{call->handle_, maybeRan ? ResultCode::AnswerLost : ResultCode::Withdrawn, call->trace_, Millis()});
+    }
+    removeCall(world, found->second, ResultCode::Withdrawn);
+}
+
+void handle(World &world, const CallerBodyFailed &event)
+{
     const auto found = world.calls_.byHandle_.find(event.handle_);
     if (found == world.calls_.byHandle_.end()) {
-        logUnanswered(world, event, nullptr);
         return;
     }
-    logUnanswered(world, event, world.calls_.calls_.get(found->second));
-    removeCall(world, found->second, ResultCode::Withdrawn);
+    const CallId id = found->second;
+    if (world.calls_.calls_.get(id)->state_ == CallState::Relaying) {
+        abortRelayedCall(world, id, ResultCode::AnswerLost, UnansweredReason::BodyIncomplete);
+    } else {
+        failCall(world, id, event.code_);
+    }
 }
 
 void runRoute(World &world)
--- a/src/net/caller_request.cpp
+++ b/src/net/caller_request.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace radishford {
 
@@ -341,6 +342,21 @@
     return written_;
 }
 
+bool CallerRequest::markUnanswered()
+{
+    return !std::exchange(unansweredNoted_, true);
+}
+
+PeerState CallerRequest::callerState() const
+{
+    return peerState(stream_.socket());
+}
+
+bool CallerRequest::isBodyTooLarge() const
+{
+    return remainingBytes_ == 0;
+}
+
 bool CallerRequest::isAnswered() const
 {
     return answered_;
--- a/src/net/caller_request.h
+++ b/src/net/caller_request.h
@@ -7,6 +7,7 @@
 #include "net/async_condition.h"
 #include "net/http_client_server.h"
 #include "net/net.h"
+#include "net/peer_state.h"
 #include "wire/frame_type.h"
 
 #include <cstdint>
@@ -99,6 +100,15 @@
     // Bytes of the response that were written, without the framing of chunks.
     [[nodiscard]] Bytes written() const;
 
+    // Notes that the caller gets no complete response. False when that was noted before.
+    bool markUnanswered();
+
+    // What is known of the caller's end of the connection.
+    [[nodiscard]] PeerState callerState() const;
+
+    // True when the body exceeded the limit while it was read.
+    [[nodiscard]] bool isBodyTooLarge() const;
+
     // True once a response was written to its end.
     [[nodiscard]] bool isAnswered() const;
 
@@ -177,6 +187,7 @@
     TraceId trace_;
     Bytes written_;
     bool answered_ = false;
+    bool unansweredNoted_ = false;
     // Buffered part of the body.
     std::string body_;
     bool buffered_ = false;
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -138,8 +138,30 @@
     }
 }
 
-void CallerServer::reportUnanswered(const CallerRequest &request, UnansweredReason reason)
+void CallerServer::endBody(CallHandle handle)
 {
+    const auto request = find(handle);
+    if (!request || request->isFinished()) {
+        return;
+    }
+    switch (request->callerState()) {
+    case PeerState::Open:
+        worldRunner_.post(CallerBodyFailed{handle, request->isBodyTooLarge() ? ResultCode::BodyTooLarge : ResultCode::BodyBroken});
+        break;
+    case PeerState::SendingClosed:
+        reportUnanswered(*request, UnansweredReason::CallerClosed);
+        break;
+    case PeerState::Gone:
+        abort(handle, UnansweredReason::BodyIncomplete);
+        break;
+    }
+}
+
+void CallerServer::reportUnanswered(CallerRequest &request, UnansweredReason reason)
+{
+    if (!request.markUnanswered()) {
+        return;
+    }
     worldRunner_.post(CallerDisconnected{request.handle(), request.trace(), reason, request.number(), request.written()});
 }
 
@@ -348,7 +370,24 @@
 
 void CallerServer::endAbandoned(CallerConnection &connection)
 {
-    endPipeline(connection, departureReason(connection.stream_.socket()));
+    const UnansweredReason reason = departureReason(connection.stream_.socket());
+    if (reason == UnansweredReason::CallerReset) {
+        connection.isOver_ = true;
+        endPipeline(connection, reason);
+        return;
+    }
+    if (connection.isEnding_) {
+        return;
+    }
+    connection.isEnding_ = true;
+    for (const auto &request : connection.pipeline_) {
+        if (!request->isFinished()) {
+            reportUnanswered(*request, reason);
+        }
+    }
+    if (!connection.pipeline_.empty()) {
+        connection.pipeline_.back()->closeAfterResponse();
+    }
 }
 
 Task<bool> CallerServer::serveRequest(ConnectionPtr connection)
@@ -447,8 +486,15 @@
     if (isClosedByPeer(connection->stream_.socket())) {
         // The caller left while its request waited to be read.
         worldRunner_.post(RequestRefused{ResultCode::Withdrawn, trace});
-        reportUnanswered(*request, departureReason(connection->stream_.socket()));
+        const UnansweredReason reason = departureReason(connection->stream_.socket());
+        reportUnanswered(*request, reason);
         endAbandoned(*connection);
+        if (reason == UnansweredReason::CallerClosed) {
+            request->closeAfterResponse();
+            co_await awaitPipeline(connection, false);
+            connection->hasResponded_ = true;
+            co_await writeFailure(request, CallFailure{ResultCode::Withdrawn, trace.value(), Millis(), false});
+        }
         co_return false;
     }
     parsedHeader.event_.bodyTime_ = WorldRunner::now() - headerReadAt;
@@ -496,7 +542,7 @@
     co_await request->waitUntilFinished();
     requests_.erase(request->handle());
     co_await request->waitForTurn();
-    if (!connection->isEnding_) {
+    if (!connection->isOver_) {
         connection->hasResponded_ = !request->isAborted();
         bool mayKeepAlive = !request->mustClose();
         if (request->failure()) {
@@ -506,10 +552,10 @@
         if (!request->isAborted() && !request->isAnswered()) {
             reportUnanswered(*request, UnansweredReason::ResponseNotTaken);
         }
-        connection->isEnding_ = connection->isEnding_ || !mayKeepAlive;
+        connection->isOver_ = !mayKeepAlive;
     }
     connection->pipeline_.pop_front();
-    if (connection->isEnding_) {
+    if (connection->isOver_) {
         endPipeline(*connection, UnansweredReason::ConnectionEnding);
     }
     if (!connection->pipeline_.empty()) {
--- a/src/net/caller_server.h
+++ b/src/net/caller_server.h
@@ -45,8 +45,10 @@
     bool hasResponded_ = false;
     // Requests that are being served, in the order in which their responses leave.
     std::deque<std::shared_ptr<CallerRequest>> pipeline_;
-    // True once no further request may be served: the caller has left, or a response announced the end of the connection.
+    // True once no further request may be served: the caller sends nothing more, or a response announced the end of the connection.
     bool isEnding_ = false;
+    // True once no further response may be written: one announced the end of the connection, or the connection is broken.
+    bool isOver_ = false;
     // Shared, since a watch that was started may end after the connection.
     std::shared_ptr<InputWatch> inputWatch_;
 };
@@ -70,6 +72,9 @@
     // Closes the connection of a call without a complete response, and posts CallerDisconnected. Does nothing when the call has ended.
     void abort(CallHandle handle, UnansweredReason reason);
 
+    // Reports that the body of a call ended early, stalled, is malformed or too large. Does nothing when the call has ended.
+    void endBody(CallHandle handle);
+
     // Refuses all requests that are not calls yet, also those that arrive later, and closes idle connections. Calls are served to their end.
     void startDraining();
 
@@ -135,11 +140,11 @@
     // Aborts the requests of a connection that will get no response.
     void endPipeline(CallerConnection &connection, UnansweredReason reason);
 
-    // Aborts the requests of a connection whose caller has left.
+    // Ends the requests of a connection whose caller sends nothing more. Aborts them if the connection is broken; otherwise the caller may still read.
     void endAbandoned(CallerConnection &connection);
 
-    // Reports to the world that the caller of a request gets no complete response.
-    void reportUnanswered(const CallerRequest &request, UnansweredReason reason);
+    // Reports to the world, once for a request, that its caller gets no complete response.
+    void reportUnanswered(CallerRequest &request, UnansweredReason reason);
 
     // Reads and discards what the caller still sends after the last response.
     Task<> discardInput(ConnectionPtr connection);
--- a/src/net/exchange_client.cpp
+++ b/src/net/exchange_client.cpp
@@ -352,7 +352,7 @@
         }
         if (!chunk) {
             // The caller's body is truncated. BodyEnd is not sent, so the inbound daemon cannot take the body as complete.
-            callers_.abort(exchange->call_, UnansweredReason::BodyIncomplete);
+            callers_.endBody(exchange->call_);
             connection->close();
             co_return;
         }
--- a/src/net/peer_state.h
+++ b/src/net/peer_state.h
@@ -20,6 +20,9 @@
 // Returns the state of the peer. Unlike a read, this sees the end behind bytes that are still unread.
 inline PeerState peerState(tcp::socket &socket)
 {
+    if (!socket.is_open()) {
+        return PeerState::Gone;
+    }
     pollfd descriptor{socket.native_handle(), POLLIN | POLLRDHUP, 0};
     if (poll(&descriptor, 1, 0) <= 0) {
         return PeerState::Open;
--- a/src/world/event_type.h
+++ b/src/world/event_type.h
@@ -62,6 +62,12 @@
     Bytes written_{};
 };
 
+// The body of a call that is passed on while it arrives is malformed or too large. The caller can still be told.
+struct CallerBodyFailed {
+    CallHandle handle_;
+    ResultCode code_ = ResultCode::BodyBroken;
+};
+
 // The inbound side replied to an offer.
 struct OfferReplied {
     AttemptId attempt_;
@@ -232,10 +238,10 @@
 };
 
 // Any event. The dispatch table in world/dispatch_system.cpp is indexed by alternative.
-using Event = std::variant<CallArrived, RequestRefused, CallerDisconnected, OfferReplied, WithdrawalReplied, AttemptFailed, ResponseStarted, ResponseCompleted,
-                           ExchangeConnectionLost, OfferArrived, ConfirmationArrived, BodyArrived, WithdrawalArrived, PeerDisconnected, BackendResponded,
-                           BackendFailed, BackendChecked, BackendAnnounced, BackendDeregistered, DatagramArrived, TicketBatchArrived, StoreResponded,
-                           TicketSubmitted, SettingsChanged, ShutdownRequested>;
+using Event = std::variant<CallArrived, RequestRefused, CallerDisconnected, CallerBodyFailed, OfferReplied, WithdrawalReplied, AttemptFailed, ResponseStarted,
+                           ResponseCompleted, ExchangeConnectionLost, OfferArrived, ConfirmationArrived, BodyArrived, WithdrawalArrived, PeerDisconnected,
+                           BackendResponded, BackendFailed, BackendChecked, BackendAnnounced, BackendDeregistered, DatagramArrived, TicketBatchArrived,
+                           StoreResponded, TicketSubmitted, SettingsChanged, ShutdownRequested>;
 
 // Events in order of arrival.
 using Inbox = std::vector<Event>;
