--- a/test/standin/daemon_fixture.h
+++ b/test/standin/daemon_fixture.h
@@ -13,6 +13,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -43,6 +44,10 @@
     Millis lateDelay_{20};
     // Pause before the body is read.
     Millis bodyReadDelay_{};
+    // Pause before a response that is sent before the body is read.
+    Millis earlyDelay_{};
+    // True when the connection is closed or reset, as afterResponse_ says, before the body is read.
+    bool endsBeforeBody_ = false;
 };
 
 // A request as the scripted backend server received it.
@@ -82,17 +87,26 @@
 "limits":{"maxHeaderBytes":8192,"maxBodyBytes":4000000,"headerTimeoutS":2,"idleTimeoutS":5}})";
 }
 
+// Which one of several daemons of a test a fixture runs.
+struct FixturePlace {
+    std::string name_ = "live";
+    // Number of the daemon's loopback address, from zero.
+    std::uint32_t number_ = 0;
+    // Addresses of other daemons.
+    std::vector<Address> seeds_{};
+};
+
 // One daemon, its store and its backend server on one io_context, or the daemon in a process of its own. A test drives it with runUntil().
 class DaemonFixture
 {
 public:
     // Starts the daemon and waits until its backend server is ready. A rate of zero means no health checks.
-    explicit DaemonFixture(double checksPerSecond = 0, std::string memberRows = {})
+    explicit DaemonFixture(double checksPerSecond = 0, std::string memberRows = {}, const FixturePlace &place = {})
         : memberRows_(std::move(memberRows))
-        , address_(loopbackAddress())
+        , address_(loopbackAddress(place.number_))
         , store_(context_, Address{address_, StorePort}, [this](const HttpRequest &request) { return respondToStoreRequest(request); })
         , backend_(context_, toEndpoint<tcp>(Address{address_, BackendPort}))
-        , daemon_(std::make_unique<Daemon>(context_, settings(checksPerSecond), platform::httpAdapters(), Seed))
+        , daemon_(std::make_unique<Daemon>(context_, settings(checksPerSecond, place), platform::httpAdapters(), Seed))
     {
         startStandIns();
         daemon_->start();
@@ -241,6 +255,8 @@
 
     // Responses of the backend server, in order. Once they are used up, it sends complete matching responses.
     std::deque<ScriptedResponse> scriptedResponses_;
+    // Responses to the requests with these ids, which precede the others.
+    std::map<std::string, ScriptedResponse> responsesById_;
     std::vector<ReceivedRequest> receivedRequests_;
     // Number of connections that the backend server accepted.
     int backendConnections_ = 0;
@@ -264,19 +280,20 @@
     static constexpr std::uint64_t Seed = 5;
 
     // A loopback address derived from the process id, so that tests can run in parallel.
-    static std::uint32_t loopbackAddress()
+    static std::uint32_t loopbackAddress(std::uint32_t number = 0)
     {
         constexpr std::uint32_t Loopback = 127U << 24U;
-        constexpr std::uint32_t SecondOctet = 64U << 16U;
+        const std::uint32_t secondOctet = (64U + number) << 16U;
         constexpr std::uint32_t ProcessIdMask = 0xFFFF;
-        return Loopback | SecondOctet | (static_cast<std::uint32_t>(getpid()) & ProcessIdMask);
+        return Loopback | secondOctet | (static_cast<std::uint32_t>(getpid()) & ProcessIdMask);
     }
 
-    DaemonSettings settings(double checksPerSecond) const
+    DaemonSettings settings(double checksPerSecond, const FixturePlace &place) const
     {
         DaemonSettings settings;
         settings.world_ = routedSettings();
-        settings.world_.name_ = InstanceName("live");
+        settings.world_.name_ = InstanceName(place.name_);
+        settings.world_.seeds_ = place.seeds_;
         settings.world_.places_ = {Place{"a", "r"}};
         settings.world_.failureDomain_ = "a";
         settings.world_.address_ = Address{address_, DaemonPort};
@@ -375,9 +392,13 @@
         }
     }
 
-    // Takes the next scripted response.
-    ScriptedResponse nextResponse()
+    // Takes the scripted response to a request with this id, or the next one.
+    ScriptedResponse nextResponse(const std::string &id)
     {
+        const auto found = responsesById_.find(id);
+        if (found != responsesById_.end()) {
+            return found->second;
+        }
         if (scriptedResponses_.empty()) {
             return ScriptedResponse{matchingResponse("whole"), {}, AfterResponse::KeepOpen, false, {}, {}, Millis()};
         }
@@ -403,14 +424,22 @@
                 socket.close(errorCode);
                 co_return;
             }
-            const ScriptedResponse response = nextResponse();
+            const ScriptedResponse response = nextResponse(std::string(parser.get()["Attempt-Id"]));
             const std::size_t number = receivedRequests_.size();
             const Millis receivedAt = WorldRunner::now();
             receivedRequests_.push_back(ReceivedRequest{parser.get(), connection, false, 0, {}});
+            if (response.earlyDelay_ > Millis()) {
+                asio::steady_timer timer(context_, toChrono(response.earlyDelay_));
+                co_await timer.async_wait(asio::use_awaitable);
+            }
             if (response.respondsBeforeBody_) {
                 co_await asio::async_write(socket, asio::buffer(insertAttemptId(response.bytes_, number)),
                                            asio::redirect_error(asio::use_awaitable, errorCode));
             }
+            if (response.endsBeforeBody_) {
+                endConnection(socket, response.afterResponse_);
+                co_return;
+            }
             if (response.bodyReadDelay_ > Millis()) {
                 asio::steady_timer timer(context_, toChrono(response.bodyReadDelay_));
                 co_await timer.async_wait(asio::use_awaitable);
@@ -436,12 +465,8 @@
                 asio::steady_timer timer(context_, toChrono(response.repeatInterval_));
                 co_await timer.async_wait(asio::use_awaitable);
             }
-            if (response.afterResponse_ == AfterResponse::Reset) {
-                socket.set_option(asio::socket_base::linger(true, 0), errorCode);
-                // Closed here, since the linger option has no effect on a socket that is destroyed while open.
-                socket.close(errorCode);
-            }
             if (response.afterResponse_ != AfterResponse::KeepOpen) {
+                endConnection(socket, response.afterResponse_);
                 co_return;
             }
             if (!errorCode && response.bytes_.empty()) {
@@ -452,6 +477,17 @@
         }
     }
 
+    // Closes or resets a connection of the backend server.
+    static void endConnection(tcp::socket &socket, AfterResponse kind)
+    {
+        error_code ignored;
+        if (kind == AfterResponse::Reset) {
+            socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
+        // Closed here, since the linger option has no effect on a socket that is destroyed while open.
+        socket.close(ignored);
+    }
+
     // Replaces "{id}" in a response by the request's Attempt-Id.
     std::string insertAttemptId(std::string text, std::size_t number) const
     {
