--- a/test/standin/daemon_process.h
+++ b/test/standin/daemon_process.h
@@ -21,7 +21,7 @@
 class DaemonProcess
 {
 public:
-    // Starts the process. Descriptors that are open now are inherited, so that it is started before the test opens sockets.
+    // Starts the process, which inherits no other descriptors than its log.
     DaemonProcess(const std::string &program, const std::string &settings)
         : folder_(makeFolder())
     {
@@ -32,6 +32,7 @@
             const int log = open(logPath().c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
             dup2(log, STDOUT_FILENO);
             dup2(log, STDERR_FILENO);
+            close_range(STDERR_FILENO + 1, ~0U, 0);
             execl(program.c_str(), program.c_str(), "--platform-settings", settingsPath().c_str(), nullptr);
             _exit(127);
         }
