--- a/test/standin/daemon_process.h
+++ b/test/standin/daemon_process.h
@@ -76,6 +76,12 @@
         return hasExited() && WIFEXITED(status_) && WEXITSTATUS(status_) == 0;
     }
 
+    // How the process has ended, as reported by waitpid().
+    [[nodiscard]] int status() const
+    {
+        return status_;
+    }
+
     // True once the log contains a text.
     [[nodiscard]] bool hasLogged(const std::string &text) const
     {
--- a/test/standin/soak.cpp
+++ b/test/standin/soak.cpp
@@ -320,7 +320,8 @@
             disturbances_.push_back(DisturbanceRecord{daemon.name_, Disturbance::Killed, WorldRunner::now()});
         }
         if (isOverdue || !daemon.process_->hasSucceeded()) {
-            violations_.push_back(daemon.name_ + (isOverdue ? " was killed at the end of its grace period" : " ended with a failure after SIGTERM"));
+            const std::string status = std::to_string(daemon.process_->status());
+            violations_.push_back(daemon.name_ + (isOverdue ? " was killed at the end of its grace period" : " ended with status " + status));
         }
         keepLog(daemon);
         co_await sleep(stopRandom_.millisBetween(50, 400));
@@ -391,7 +392,7 @@
         while (!isEnding_) {
             for (SoakDaemon &daemon : daemons_) {
                 if (!daemon.isStopping_ && daemon.process_->hasExited()) {
-                    violations_.push_back(daemon.name_ + " ended without a signal");
+                    violations_.push_back(daemon.name_ + " ended without SIGTERM, with status " + std::to_string(daemon.process_->status()));
                     keepLog(daemon);
                     startProcess(daemon);
                     disturbances_.push_back(DisturbanceRecord{daemon.name_, Disturbance::Started, WorldRunner::now()});
