--- a/test/standin/soak.cpp
+++ b/test/standin/soak.cpp
@@ -460,6 +460,13 @@
             std::cout << " " << reason << " " << count;
         }
         std::cout << "\n";
+        for (const ObservedRequest &request : requests) {
+            if (request.end_ == RequestEnd::Closed && request.isPassedOn_ && !request.serverBrokeOff_) {
+                const Millis begin = request.sentAt_ == Millis::never() ? request.endedAt_ : request.sentAt_;
+                std::cout << "closed " << request.id_ << ", " << (request.endedAt_ - begin).count() << " ms after the last byte, "
+                          << (request.limitAt_ - request.endedAt_).count() << " ms before its limit: " << ledger_.find(request.id_)->plan_ << "\n";
+            }
+        }
         for (const std::string &text : violations_) {
             std::cout << "VIOLATION " << text << "\n";
         }
--- a/test/standin/soak_caller.h
+++ b/test/standin/soak_caller.h
@@ -169,6 +169,14 @@
         return plan;
     }
 
+    static std::string describe(const SoakRequestPlan &plan)
+    {
+        return std::string(plan.kind_->prefix_) + " body " + std::to_string(plan.bodyBytes_) + " in pieces of " + std::to_string(plan.pieceBytes_) + " each "
+            + std::to_string(plan.sendPause_.count()) + " ms, act " + std::to_string(static_cast<int>(plan.act_)) + ", work "
+            + std::to_string(plan.work_.count()) + " ms, answer " + std::to_string(plan.answerBytes_) + ", read after "
+            + std::to_string(plan.readPause_.count()) + " ms, limit " + std::to_string(plan.deadline_.count()) + " ms";
+    }
+
     // Keeps one connection to the daemon open at a time.
     Task<> runConnections()
     {
@@ -219,6 +227,7 @@
         request.limitAt_ = WorldRunner::now() + std::min(plan.deadline_, limits_.routeTimeout_);
         request.endedAt_ = Millis::never();
         observation.isSafe_ = plan.kind_->isSafe_;
+        observation.plan_ = describe(plan);
         connection->stream_.expires_after(toChrono(plan.patience_));
         connection->isWriting_ = true;
         asio::co_spawn(context_, writeRequest(connection, plan, &observation), asio::detached);
--- a/test/standin/soak_ledger.h
+++ b/test/standin/soak_ledger.h
@@ -58,6 +58,8 @@
     int runs_ = 0;
     // Status of the response; zero when there is none.
     unsigned status_ = 0;
+    // What was drawn about the request.
+    std::string plan_{};
     // True when a success has no signature, or belongs to another request.
     bool isForeignAnswer_ = false;
 };
