--- a/test/standin/soak_caller.h
+++ b/test/standin/soak_caller.h
@@ -7,6 +7,7 @@
 #include "standin/soak_server.h"
 
 #include <array>
+#include <charconv>
 #include <memory>
 #include <string>
 
@@ -40,6 +41,8 @@
     // The body is sent in pieces of this size, with a pause between them.
     std::size_t pieceBytes_ = 0;
     Millis sendPause_{};
+    // True when the length of the body is not announced.
+    bool isChunked_ = false;
     // Pause between the head and the body of the response.
     Millis readPause_{};
     ServerAct act_ = ServerAct::Work;
@@ -156,6 +159,7 @@
             plan.pieceBytes_ = plan.bodyBytes_ / random_.between(8, 60) + 1;
             plan.sendPause_ = random_.millisBetween(10, 50);
         }
+        plan.isChunked_ = plan.bodyBytes_ > 0 && random_.chance(25);
         plan.readPause_ = random_.chance(15) ? random_.millisBetween(50, 800) : Millis();
         plan.act_ = static_cast<ServerAct>(drawIndex(ServerActWeights, [](std::uint64_t weight) { return weight; }));
         plan.work_ = random_.chance(70) ? random_.millisBetween(50, 400)
@@ -172,8 +176,8 @@
     static std::string describe(const SoakRequestPlan &plan)
     {
         return std::string(plan.kind_->prefix_) + " body " + std::to_string(plan.bodyBytes_) + " in pieces of " + std::to_string(plan.pieceBytes_) + " each "
-            + std::to_string(plan.sendPause_.count()) + " ms, act " + std::to_string(static_cast<int>(plan.act_)) + ", work "
-            + std::to_string(plan.work_.count()) + " ms, answer " + std::to_string(plan.answerBytes_) + ", read after "
+            + std::to_string(plan.sendPause_.count()) + (plan.isChunked_ ? " ms, chunked, act " : " ms, act ") + std::to_string(static_cast<int>(plan.act_))
+            + ", work " + std::to_string(plan.work_.count()) + " ms, answer " + std::to_string(plan.answerBytes_) + ", read after "
             + std::to_string(plan.readPause_.count()) + " ms, limit " + std::to_string(plan.deadline_.count()) + " ms";
     }
 
@@ -228,6 +232,7 @@
         request.endedAt_ = Millis::never();
         observation.isSafe_ = plan.kind_->isSafe_;
         observation.plan_ = describe(plan);
+        const Millis patienceEnd = WorldRunner::now() + plan.patience_;
         connection->stream_.expires_after(toChrono(plan.patience_));
         connection->isWriting_ = true;
         asio::co_spawn(context_, writeRequest(connection, plan, &observation), asio::detached);
@@ -243,7 +248,7 @@
             co_await http::async_read(connection->stream_, connection->buffer_, parser, asio::redirect_error(asio::use_awaitable, errorCode));
         }
         request.endedAt_ = WorldRunner::now();
-        const bool isPatienceOver = errorCode == beast::error::timeout || errorCode == asio::error::operation_aborted;
+        const bool isPatienceOver = request.endedAt_ >= patienceEnd;
         const bool hasLeft = isPatienceOver ? plan.leaves_ : plan.closesSending_;
         const RequestEnd end = hasLeft ? RequestEnd::CallerLeft : isPatienceOver ? RequestEnd::TimedOut : RequestEnd::Closed;
         request.end_ = errorCode ? end : RequestEnd::Answered;
@@ -280,22 +285,32 @@
         return Millis::fromFractionalMillis(std::strtod(field.c_str(), nullptr) * 1000);
     }
 
+    // A piece of a body with the framing of chunks; without bytes, the end of the body.
+    static std::string chunk(std::size_t size)
+    {
+        std::array<char, 16> digits{};
+        const auto end = std::to_chars(digits.begin(), digits.end(), size, 16).ptr;
+        return std::string(digits.begin(), end) + "\r\n" + std::string(size, 'b') + "\r\n";
+    }
+
     // Writes a request in the pieces of its plan.
     Task<> writeRequest(ConnectionPtr connection, SoakRequestPlan plan, Observation *observation)
     {
-        const std::string length = plan.bodyBytes_ > 0 ? "Content-Length: " + std::to_string(plan.bodyBytes_) + "\r\n" : "";
-        const std::string head = std::string(plan.kind_->method_) + " " + plan.kind_->prefix_ + plan.id_ + " HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: "
-            + plan.id_ + "\r\nDeadline-Ms: " + std::to_string(plan.deadline_.count()) + "\r\nX-Work-Ms: " + std::to_string(plan.work_.count()) + "\r\nX-Act: "
-            + std::to_string(static_cast<int>(plan.act_)) + "\r\nX-Answer-Bytes: " + std::to_string(plan.answerBytes_) + "\r\n" + length + "\r\n";
-        const std::string bytes = head + std::string(plan.bodyBytes_, 'b');
-        std::size_t sent = 0;
+        const std::string length = plan.isChunked_ ? "Transfer-Encoding: chunked\r\n" : "Content-Length: " + std::to_string(plan.bodyBytes_) + "\r\n";
+        std::string bytes = std::string(plan.kind_->method_) + " " + plan.kind_->prefix_ + plan.id_
+            + " HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: " + plan.id_ + "\r\nDeadline-Ms: " + std::to_string(plan.deadline_.count())
+            + "\r\nX-Work-Ms: " + std::to_string(plan.work_.count()) + "\r\nX-Act: " + std::to_string(static_cast<int>(plan.act_))
+            + "\r\nX-Answer-Bytes: " + std::to_string(plan.answerBytes_) + "\r\n" + (plan.bodyBytes_ > 0 ? length : "") + "\r\n";
+        std::size_t left = plan.bodyBytes_;
         error_code errorCode;
-        while (sent < bytes.size() && !errorCode) {
-            co_await sleep(sent > 0 ? plan.sendPause_ : Millis());
-            const std::size_t size = std::min(sent > 0 ? plan.pieceBytes_ : head.size() + plan.pieceBytes_, bytes.size() - sent);
-            sent += co_await asio::async_write(connection->stream_, asio::buffer(bytes.data() + sent, size),
-                                               asio::redirect_error(asio::use_awaitable, errorCode));
-        }
+        do {
+            const std::size_t size = std::min(plan.pieceBytes_, left);
+            left -= size;
+            bytes += plan.isChunked_ ? chunk(size) + (left == 0 ? chunk(0) : "") : std::string(size, 'b');
+            co_await asio::async_write(connection->stream_, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, errorCode));
+            bytes.clear();
+            co_await sleep(left > 0 ? plan.sendPause_ : Millis());
+        } while (left > 0 && !errorCode);
         if (!errorCode) {
             observation->request_.sentAt_ = WorldRunner::now();
             ledger_.notify(daemon_, Moment::LastByteSent);
