Tests: a signal before the start is complete ends the daemon

Proposed: block both signals at the start of main(), or ignore SIGHUP and hold SIGTERM there, unblock once the signal sets exist, and read the settings once more then; ignore both after context.run().

The soak now prints the error with which a caller saw the end of a connection.

--- a/test/standin/daemon_process.h
+++ b/test/standin/daemon_process.h
@@ -76,6 +76,11 @@
         return hasExited() && WIFEXITED(status_) && WEXITSTATUS(status_) == 0;
     }
 
+    [[nodiscard]] pid_t id() const
+    {
+        return process_;
+    }
+
     // How the process has ended, as reported by waitpid().
     [[nodiscard]] int status() const
     {
--- a/test/standin/soak_caller.h
+++ b/test/standin/soak_caller.h
@@ -252,6 +252,7 @@
         const bool hasLeft = isPatienceOver ? plan.leaves_ : plan.closesSending_;
         const RequestEnd end = hasLeft ? RequestEnd::CallerLeft : isPatienceOver ? RequestEnd::TimedOut : RequestEnd::Closed;
         request.end_ = errorCode ? end : RequestEnd::Answered;
+        observation.plan_ += errorCode ? ", ended by: " + errorCode.message() : "";
         if (!errorCode) {
             recordResponse(observation, parser.get());
         }
