--- a/test/standin/daemon_process.h
+++ b/test/standin/daemon_process.h
@@ -22,8 +22,7 @@
 class DaemonProcess
 {
 public:
-    // Starts the process. Descriptors that are open now are inherited, so that it is started before the test opens sockets.
-    // Without a reader of its standard output, the log contains only standard error.
+    // Starts the process, which inherits no other descriptors than its log. Without a reader of its standard output, the log contains only standard error.
     DaemonProcess(const std::string &program, const std::string &settings, bool hasOutputReader = true)
         : folder_(makeFolder())
     {
@@ -34,6 +33,7 @@
             const int log = open(logPath().c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
             dup2(hasOutputReader ? log : openPipeWithoutReader(), STDOUT_FILENO);
             dup2(log, STDERR_FILENO);
+            close_range(STDERR_FILENO + 1, ~0U, 0);
             execl(program.c_str(), program.c_str(), "--platform-settings", settingsPath().c_str(), nullptr);
             _exit(127);
         }
@@ -77,6 +77,17 @@
         return hasExited() && WIFEXITED(status_) && WEXITSTATUS(status_) == 0;
     }
 
+    [[nodiscard]] pid_t id() const
+    {
+        return process_;
+    }
+
+    // How the process has ended, as reported by waitpid().
+    [[nodiscard]] int status() const
+    {
+        return status_;
+    }
+
     // True once the log contains a text.
     [[nodiscard]] bool hasLogged(const std::string &text) const
     {
