Backend client: a response without length that is reset is not complete

Two events at one request: the backend server sends a response without length before it has read the body, and resets the connection while the rest of the body waits to be written.

Trace: the kernel reports a reset once. Asio performs the pending write before the pending read, so writeRequest (backend_client.cpp) gets ECONNRESET, and the read in forwardBody gets the end of the stream, which is the proper end of a response without length. The exchange ends with ResponseEnd, and the caller gets 200 with a part of the body and its length (up to 64 KiB) or the last chunk (above). In the other order, with no write pending, the read gets ECONNRESET and the caller gets 502.

Change: writeRequest notes the reset in BackendRequest::wasReset_, and forwardBody then takes a response that ends with its connection as cut.

Responses with a length or in chunks were not affected.

--- a/src/net/backend_client.cpp
+++ b/src/net/backend_client.cpp
@@ -313,6 +313,7 @@
         co_await asio::async_write(*stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, errorCode));
     }
     request->requestWritten_ = !errorCode;
+    request->wasReset_ = errorCode == asio::error::connection_reset;
 }
 
 Task<BackendClient::ReceivedHead> BackendClient::receiveHead(const RequestHead &request, beast::tcp_stream &stream, beast::flat_buffer &buffer)
@@ -419,7 +420,8 @@
         }
         co_await request.responseConnection_->waitUntilDrained();
     }
-    co_return true;
+    // A reset is reported once only: after a write has failed with it, reads see an ordinary end, which would end a response without length.
+    co_return !parser.need_eof() || !request.wasReset_;
 }
 
 } // namespace radishford
--- a/src/net/backend_client.h
+++ b/src/net/backend_client.h
@@ -32,6 +32,8 @@
     bool cancelled_ = false;
     // True once the whole request, with its body, was written.
     bool requestWritten_ = false;
+    // True once writing the request has failed because the backend server reset the connection.
+    bool wasReset_ = false;
     // Connection in use; cancelRequest() closes it. Null before and after the exchange with the backend server.
     std::shared_ptr<beast::tcp_stream> stream_;
 };
--- a/test/standin/daemon_fixture.h
+++ b/test/standin/daemon_fixture.h
@@ -43,6 +43,8 @@
     Millis lateDelay_{20};
     // Pause before the body is read.
     Millis bodyReadDelay_{};
+    // What happens to the connection after this pause. Unless it is kept open, the body stays unread.
+    AfterResponse beforeBody_ = AfterResponse::KeepOpen;
 };
 
 // A request as the scripted backend server received it.
@@ -190,6 +192,13 @@
         return WorldRunner::now() - startedAt;
     }
 
+    // Makes the backend server's sockets take little of a body that it does not read.
+    void limitBackendBuffers()
+    {
+        constexpr int BufferBytes = 4096;
+        backend_.set_option(asio::socket_base::receive_buffer_size(BufferBytes));
+    }
+
     Daemon &daemon()
     {
         return *daemon_;
@@ -415,6 +424,11 @@
                 asio::steady_timer timer(context_, toChrono(response.bodyReadDelay_));
                 co_await timer.async_wait(asio::use_awaitable);
             }
+            if (response.beforeBody_ != AfterResponse::KeepOpen) {
+                socket.set_option(asio::socket_base::linger(response.beforeBody_ == AfterResponse::Reset, 0), errorCode);
+                socket.close(errorCode);
+                co_return;
+            }
             co_await http::async_read(socket, buffer, parser, asio::redirect_error(asio::use_awaitable, errorCode));
             receivedRequests_[number].message_ = parser.get();
             if (!errorCode && !response.respondsBeforeBody_) {
--- a/test/standin/peer.h
+++ b/test/standin/peer.h
@@ -141,6 +141,13 @@
         return isEnd;
     }
 
+protected:
+    // The connection, for further operations on it.
+    [[nodiscard]] const std::shared_ptr<tcp::socket> &socket() const
+    {
+        return socket_;
+    }
+
 private:
     std::shared_ptr<tcp::socket> socket_;
     std::shared_ptr<Received> received_ = std::make_shared<Received>();
