Wire: a boolean with a value other than 0 and 1 is rejected

Cause: booleans of frames and datagrams were decoded byte for byte.

Change: serializeField checks the byte, as it does for enums. The encoding is the same.

Measured: the new case of codec_test failed before (no exception) and passes now; all other cases pass.

--- a/src/wire/serialize.h
+++ b/src/wire/serialize.h
@@ -20,9 +20,9 @@
 template<typename Archive>
 constexpr bool IsSaving = Archive::is_saving::value;
 
-// Checks a decoded enum value. Throws Error with MessageMalformed when it exceeds the last enumerator.
-template<typename Enum>
-void checkRange(Enum value, Enum last)
+// Checks a decoded enum value or boolean. Throws Error with MessageMalformed when it exceeds the last one.
+template<typename T>
+void checkRange(T value, T last)
 {
     if (value > last) {
         throw Error(ResultCode::MessageMalformed, "value out of range");
@@ -134,6 +134,11 @@
         auto raw = static_cast<std::underlying_type_t<T>>(value);
         archive(raw);
         value = static_cast<T>(raw);
+    } else if constexpr (std::is_same_v<T, bool>) {
+        auto raw = static_cast<std::uint8_t>(value);
+        archive(raw);
+        checkRange<std::uint8_t>(raw, 1);
+        value = raw != 0;
     } else if constexpr (std::is_arithmetic_v<T>) {
         archive(value);
     } else {
--- a/test/codec_test.cpp
+++ b/test/codec_test.cpp
@@ -174,3 +174,12 @@
         BOOST_CHECK_THROW(parseStoreResponse(ClaimDelete{}, text), Error);
     }
 }
+
+// Guards against a boolean with a value other than 0 and 1, on which the program's course would depend.
+BOOST_AUTO_TEST_CASE(a_frame_with_an_invalid_boolean_is_rejected)
+{
+    std::string bytes = encodeFrame(WithdrawalReply{1, true}).substr(FrameLengthBytes);
+    BOOST_TEST(std::get<WithdrawalReply>(decodeFrame(bytes)).handedOver_);
+    bytes.back() = static_cast<char>(224);
+    BOOST_CHECK_THROW(decodeFrame(bytes), Error);
+}
