--- a/test/standin/daemon_fixture.h
+++ b/test/standin/daemon_fixture.h
@@ -204,6 +204,13 @@
         return WorldRunner::now() - startedAt;
     }
 
+    // Makes the backend server's sockets take little of a body that it does not read.
+    void limitBackendBuffers()
+    {
+        constexpr int BufferBytes = 4096;
+        backend_.set_option(asio::socket_base::receive_buffer_size(BufferBytes));
+    }
+
     Daemon &daemon()
     {
         return *daemon_;
