--- a/test/platform_exchange_peer_test.cpp
+++ b/test/platform_exchange_peer_test.cpp
@@ -146,8 +146,10 @@
                 if (!co_await send(socket, encode(conversation.beforeBody_, attempt), conversation)) {
                     co_return;
                 }
-            } else if (std::holds_alternative<BodyEnd>(frame) && !co_await send(socket, encode(conversation.afterBody_, attempt), conversation)) {
-                co_return;
+            } else if (std::holds_alternative<BodyEnd>(frame)) {
+                if (!co_await send(socket, encode(conversation.afterBody_, attempt), conversation)) {
+                    co_return;
+                }
             }
         }
     }
--- a/test/standin/soak_caller.h
+++ b/test/standin/soak_caller.h
@@ -190,7 +190,10 @@
                 co_await sleep(ReconnectDelay);
                 continue;
             }
-            while (!isStopping_ && co_await sendRequest(connection)) {
+            while (!isStopping_) {
+                if (!co_await sendRequest(connection)) {
+                    break;
+                }
                 // A connection is idle for at most four fifths of the limit.
                 co_await sleep(random_.chance(4) ? Millis(limits_.idleTimeout_.count() * 4 / 5) : random_.millisBetween(0, 120));
             }
--- a/test/standin/soak_server.h
+++ b/test/standin/soak_server.h
@@ -151,7 +151,10 @@
         exchange.observation_ = ledger_.find(exchange.id_);
         const bool isForOther = request.count("Expect-Instance") > 0 && request["Expect-Instance"] != settings_.id_;
         if (exchange.observation_ == nullptr || isForOther) {
-            co_return co_await readBody(exchange) && co_await respond(exchange, 421, "", "");
+            if (!co_await readBody(exchange)) {
+                co_return false;
+            }
+            co_return co_await respond(exchange, 421, "", "");
         }
         exchange.observation_->request_.isPassedOn_ = true;
         co_return co_await handle(exchange);
@@ -169,7 +172,10 @@
 
     Task<bool> work(Exchange &exchange)
     {
-        co_return co_await run(exchange) && co_await respond(exchange, lastStatus(exchange), signature(exchange), answer(exchange));
+        if (!co_await run(exchange)) {
+            co_return false;
+        }
+        co_return co_await respond(exchange, lastStatus(exchange), signature(exchange), answer(exchange));
     }
 
     Task<bool> respondFirst(Exchange &exchange)
@@ -178,13 +184,19 @@
         endRun(exchange);
         const bool isWritten = co_await respond(exchange, 200, signature(exchange), answer(exchange));
         co_await sleep(Pause);
-        co_return isWritten &&co_await readBody(exchange);
+        if (!isWritten) {
+            co_return false;
+        }
+        co_return co_await readBody(exchange);
     }
 
     Task<bool> reject(Exchange &exchange)
     {
         co_await readPart(exchange);
-        co_return co_await respond(exchange, 503, "Not-Executed: 1\r\n", "") && co_await readBody(exchange);
+        if (!co_await respond(exchange, 503, "Not-Executed: 1\r\n", "")) {
+            co_return false;
+        }
+        co_return co_await readBody(exchange);
     }
 
     Task<bool> rejectAndClose(Exchange &exchange)
