--- a/src/net/backend_client.cpp
+++ b/src/net/backend_client.cpp
@@ -70,6 +70,8 @@
 {
     constexpr std::string_view Parameter = "timeout=";
     constexpr std::int64_t MillisPerSecond = 1000;
+    // Longer times are reduced to this one.
+    constexpr std::int64_t MaxSeconds = 3600;
     const std::string field(header[http::field::keep_alive]);
     const std::size_t position = field.find(Parameter);
     if (position == std::string::npos) {
@@ -77,7 +79,7 @@
     }
     std::int64_t seconds = 0;
     std::from_chars(field.data() + position + Parameter.size(), field.data() + field.size(), seconds);
-    return std::max(Millis(), Millis(seconds * MillisPerSecond) - CloseMargin);
+    return std::max(Millis(), Millis(std::clamp<std::int64_t>(seconds, 0, MaxSeconds) * MillisPerSecond) - CloseMargin);
 }
 
 // True for a response that precedes the final one. Status 101 is not among them: it ends the use of HTTP on the connection.
