--- a/test/platform_exchange_peer_test.cpp
+++ b/test/platform_exchange_peer_test.cpp
@@ -190,6 +190,7 @@
     fixture.runUntil([&]() { return caller.responses().size() == 2 || caller.received().ended_; }, ResponseDue);
     const std::vector<HttpResponse> responses = caller.responses();
     if (responses.size() < 2) {
+        BOOST_TEST_MESSAGE(request.target_ << ": the connection " << (caller.received().ended_ ? "has ended" : "is open") << " without a response");
         return 0;
     }
     BOOST_TEST((responses[1].result_int() / 100 != 2 || responses[1].body() == Body), request.target_ << ": " << responses[1].body());
