Callers: what the review of the fixes found

- A caller that closed its sending side while a whole response was being written, and whose connection then failed, left its call row for ever: the first report was ignored by the world, and the second was not sent.
The first is now ignored only while a whole response is written, and does not stand in the way of a later one.
A longer response is cut at once as before, so that its server is cancelled.
- A request that was read ahead could get its failure response behind a response that had been cut (pipelined requests only).
- A broken body no longer cuts a whole early response; a response head that announces the end of the connection binds; a failure response never follows a part of another response; a late reply to a withdrawal does not take back a relay that has begun.
- A body of exactly the limit that is malformed counted as too large.

--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -260,7 +260,8 @@
 void resumeAttempt(World &world, Attempt &attempt)
 {
     Call &call = *world.calls_.calls_.get(attempt.call_);
-    if (call.state_ != CallState::Ending) {
+    const bool isAwaited = attempt.state_ == AttemptState::Withdrawing && call.state_ != CallState::Ending;
+    if (isAwaited) {
         attempt.state_ = AttemptState::Running;
         call.state_ = CallState::Running;
     }
--- a/src/call/call_base.h
+++ b/src/call/call_base.h
@@ -62,7 +62,7 @@
     bool isRetryScheduled_ = false;
     // Result code of the latest failed attempt.
     ResultCode lastFailureCode_ = ResultCode::NoBackend;
-    // True while a response that has arrived whole is being written to the caller.
+    // True once a response has arrived whole; it is being written to the caller.
     bool hasWholeResponse_ = false;
     // Time at which the relay of a response that has not arrived whole is given up; never() before the time limit.
     Millis relayEndsAt_ = Millis::never();
--- a/src/call/call_cmd.cpp
+++ b/src/call/call_cmd.cpp
@@ -318,8 +318,8 @@
     const auto found = world.calls_.byHandle_.find(event.handle_);
     const Call *call = found == world.calls_.byHandle_.end() ? nullptr : world.calls_.calls_.get(found->second);
     const bool mayRead = event.reason_ == UnansweredReason::CallerClosed;
-    if (mayRead && call != nullptr && call->state_ == CallState::Relaying) {
-        // The next write tells whether the caller still reads.
+    if (mayRead && (call == nullptr || call->hasWholeResponse_)) {
+        // A response is being written. The write tells whether the caller still reads.
         return;
     }
     world.counters_.add(event.reason_);
@@ -327,11 +327,13 @@
     if (call == nullptr) {
         return;
     }
-    if (mayRead) {
-        const bool maybeRan = call->mayHaveRun_ || anyMayRun(world, *call);
-        world.emit(FailCall{call->handle_, maybeRan ? ResultCode::AnswerLost : ResultCode::Withdrawn, call->trace_, Millis()});
+    if (!mayRead) {
+        removeCall(world, found->second, ResultCode::Withdrawn);
+    } else if (call->state_ == CallState::Relaying) {
+        abortRelayedCall(world, found->second, ResultCode::Withdrawn, event.reason_);
+    } else {
+        failCall(world, found->second, ResultCode::Withdrawn);
     }
-    removeCall(world, found->second, ResultCode::Withdrawn);
 }
 
 void handle(World &world, const CallerBodyFailed &event)
@@ -341,7 +343,11 @@
         return;
     }
     const CallId id = found->second;
-    if (world.calls_.calls_.get(id)->state_ == CallState::Relaying) {
+    const Call &call = *world.calls_.calls_.get(id);
+    if (call.hasWholeResponse_) {
+        return;
+    }
+    if (call.state_ == CallState::Relaying) {
         abortRelayedCall(world, id, ResultCode::AnswerLost, UnansweredReason::BodyIncomplete);
     } else {
         failCall(world, id, event.code_);
--- a/src/call/call_func.h
+++ b/src/call/call_func.h
@@ -34,7 +34,7 @@
 void handle(World &world, const RequestRefused &event);
 
 // Counts and logs a request whose caller gets no complete response, and ends its call unless it has ended. A caller that may have closed its sending side only
-// gets a failure response, or the rest of a response that is already being relayed.
+// gets a failure response, unless a response is already being relayed.
 void handle(World &world, const CallerDisconnected &event);
 
 // Fails a call whose body cannot be passed on. A response that is already being relayed is cut.
--- a/src/net/caller_request.cpp
+++ b/src/net/caller_request.cpp
@@ -35,21 +35,27 @@
         co_return ResultCode::BodyTooLarge;
     }
     isBuffering_ = true;
+    const ResultCode result = co_await bufferChunks(limit, maxBuffered);
+    isBuffering_ = false;
+    buffered_ = parser_->is_done();
+    co_return result;
+}
+
+Task<ResultCode> CallerRequest::bufferChunks(std::uint64_t limit, std::uint64_t maxBuffered)
+{
     while (!parser_->is_done() && body_.size() <= maxBuffered) {
         const std::optional<std::string> chunk = co_await readFromStream();
         if (interruption_) {
             co_return *interruption_;
         }
         if (!chunk) {
-            co_return remainingBytes_ == 0 ? ResultCode::BodyTooLarge : ResultCode::BodyBroken;
+            co_return isBodyTooLarge_ ? ResultCode::BodyTooLarge : ResultCode::BodyBroken;
         }
         body_ += *chunk;
         if (body_.size() > limit) {
             co_return ResultCode::BodyTooLarge;
         }
     }
-    isBuffering_ = false;
-    buffered_ = parser_->is_done();
     co_return ResultCode::Ok;
 }
 
@@ -128,7 +134,7 @@
     }
     chunk.resize(MaxChunkBytes - body.size);
     if (chunk.size() > remainingBytes_) {
-        remainingBytes_ = 0;
+        isBodyTooLarge_ = true;
         co_return std::nullopt;
     }
     remainingBytes_ -= chunk.size();
@@ -165,7 +171,9 @@
     if (head.hasLength_ && head.status_ != 204) {
         response.content_length(head.length_);
     }
-    response.keep_alive(mayKeepAlive());
+    // The rest of the body may still arrive; the announced end holds.
+    closeAfterResponse_ = !mayKeepAlive();
+    response.keep_alive(!closeAfterResponse_);
     http::response_serializer<http::empty_body> serializer(response);
     error_code errorCode;
     stream_.expires_after(StallTimeout);
@@ -241,11 +249,17 @@
 
 void CallerRequest::fail(ResultCode code, Millis retryAfter)
 {
-    if (!finished_) {
+    if (finished_) {
+        return;
+    }
+    if (written_ > Bytes()) {
+        // A failure response cannot follow a part of another one.
+        aborted_ = UnansweredReason::ResponseCut;
+    } else {
         failure_ = code;
         retryAfter_ = retryAfter;
-        end();
     }
+    end();
 }
 
 void CallerRequest::abort(UnansweredReason reason)
@@ -354,7 +368,7 @@
 
 bool CallerRequest::isBodyTooLarge() const
 {
-    return remainingBytes_ == 0;
+    return isBodyTooLarge_;
 }
 
 bool CallerRequest::isAnswered() const
--- a/src/net/caller_request.h
+++ b/src/net/caller_request.h
@@ -167,6 +167,9 @@
     // Reads one chunk from the connection; empty at the end of the body. Nothing on failure.
     Task<std::optional<std::string>> readFromStream();
 
+    // Reads the body into memory as bufferBody() does.
+    Task<ResultCode> bufferChunks(std::uint64_t limit, std::uint64_t maxBuffered);
+
     // Sends "100 Continue" once, if the request expects it.
     Task<> sendContinue();
 
@@ -191,6 +194,8 @@
     // Buffered part of the body.
     std::string body_;
     bool buffered_ = false;
+    // True once the body exceeded the limit.
+    bool isBodyTooLarge_ = false;
     bool isBuffering_ = false;
     // Why buffering was interrupted, if it was.
     std::optional<ResultCode> interruption_;
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -159,7 +159,9 @@
 
 void CallerServer::reportUnanswered(CallerRequest &request, UnansweredReason reason)
 {
-    if (!request.markUnanswered()) {
+    // A caller that has closed its sending side may still get a response, or fail to take it.
+    const bool isFinal = reason != UnansweredReason::CallerClosed;
+    if (isFinal && !request.markUnanswered()) {
         return;
     }
     worldRunner_.post(CallerDisconnected{request.handle(), request.trace(), reason, request.number(), request.written()});
@@ -278,7 +280,11 @@
     error_code errorCode;
     std::size_t end = std::string_view::npos;
     while (!errorCode && (end = findHeadEnd(unparsedBytes(buffer))) == std::string_view::npos && buffer.size() < headerLimit()) {
-        errorCode = isDraining_ ? asio::error::operation_aborted : co_await readMore(connection, worldRunner_.world().routes_.requestLimits_.headerTimeout_);
+        if (isDraining_) {
+            errorCode = asio::error::operation_aborted;
+        } else {
+            errorCode = co_await readMore(connection, worldRunner_.world().routes_.requestLimits_.headerTimeout_);
+        }
     }
     if (!errorCode && hasFoldedField(unparsedBytes(buffer).substr(0, end))) {
         errorCode = http::error::bad_field;
@@ -317,7 +323,9 @@
         // Interrupted by startDraining(). A caller that has just connected is about to send its first request.
         error_code ignored;
         const bool requestExpected = connection->requestCount_ == 0 || connection->stream_.socket().available(ignored) > 0;
-        errorCode = requestExpected ? co_await readMore(connection, LastRequestTimeout) : errorCode;
+        if (requestExpected) {
+            errorCode = co_await readMore(connection, LastRequestTimeout);
+        }
     }
     // A watch that is still pending has seen the same bytes.
     connection->inputWatch_->clearInput();
@@ -495,14 +503,18 @@
     if (isClosedByPeer(connection->stream_.socket())) {
         // The caller left while its request waited to be read.
         worldRunner_.post(RequestRefused{ResultCode::Withdrawn, trace});
-        const UnansweredReason reason = departureReason(connection->stream_.socket());
-        reportUnanswered(*request, reason);
+        const bool mayRead = departureReason(connection->stream_.socket()) == UnansweredReason::CallerClosed;
         endAbandoned(*connection);
-        if (reason == UnansweredReason::CallerClosed) {
-            request->closeAfterResponse();
-            co_await awaitPipeline(connection, false);
+        if (!mayRead) {
+            reportUnanswered(*request, UnansweredReason::CallerReset);
+            co_return false;
+        }
+        request->closeAfterResponse();
+        co_await awaitPipeline(connection, false);
+        if (!connection->isOver_) {
             connection->hasResponded_ = true;
-            co_await writeFailure(request, CallFailure{ResultCode::Withdrawn, trace.value(), Millis(), false});
+            const CallFailure failure{ResultCode::Withdrawn, trace.value(), Millis(), false};
+            co_await writeFailure(request, failure);
         }
         co_return false;
     }
@@ -561,7 +573,7 @@
         if (!request->isAborted() && !request->isAnswered()) {
             reportUnanswered(*request, UnansweredReason::ResponseNotTaken);
         }
-        connection->isOver_ = !mayKeepAlive;
+        connection->isOver_ = connection->isOver_ || !mayKeepAlive;
     }
     connection->pipeline_.pop_front();
     if (connection->isOver_) {
