--- a/test/lost_rule_test.cpp
+++ b/test/lost_rule_test.cpp
@@ -37,7 +37,7 @@
     std::vector<ObservedRequest> requests;
     for (int number = 0; number < 4; ++number) {
         BOOST_TEST(rule.violations(requests).empty(), requests.size());
-        requests.push_back(closedRequest(Millis(1000 * number), Millis(1000 * number + 100)));
+        requests.push_back(closedRequest(Millis(1000) * number, Millis(1000) * number + Millis(100)));
     }
     BOOST_TEST(rule.violations(requests).size() == 1U);
 }
