--- a/test/lost_rule_test.cpp
+++ b/test/lost_rule_test.cpp
@@ -75,7 +75,7 @@
 {
     const LostRule rule = ruleWithStop();
     BOOST_TEST(rule.violations({closedRequest(Millis(11000), Millis(11500))}).size() == 1U);
-    // The record of the incident: accepted 3.573 s after SIGTERM and closed 5.921 s after it, while the backend server worked.
+    // Sent too late after the signal to be excused at the end of the grace period.
     ObservedRequest incident = closedRequest(Millis(13573), Millis(15921));
     incident.runStartedAt_ = Millis(13861);
     incident.runEndedAt_ = Millis(16068);
