--- a/test/standin/daemon_fixture.h
+++ b/test/standin/daemon_fixture.h
@@ -55,6 +55,7 @@
     http::request<http::string_body> message_;
     // Number of the connection that it arrived on, from 1.
     int connection_ = 0;
+    Millis receivedAt_{};
     // Only set for a request without a scripted response or with an endless one: true once the daemon closed the connection or, if there was no
     // response, sent further bytes on it.
     bool cancelled_ = false;
@@ -262,6 +263,8 @@
 
     // Responses of the backend server, in order. Once they are used up, it sends complete matching responses.
     std::deque<ScriptedResponse> scriptedResponses_;
+    // Header fields of the responses that are not scripted, also of those to health checks.
+    std::string backendFields_;
     // Responses to the requests with these ids, which precede the others.
     std::map<std::string, ScriptedResponse> responsesById_;
     std::vector<ReceivedRequest> receivedRequests_;
@@ -407,7 +410,7 @@
             return found->second;
         }
         if (scriptedResponses_.empty()) {
-            return ScriptedResponse{matchingResponse("whole"), {}, AfterResponse::KeepOpen, false, {}, {}, Millis()};
+            return ScriptedResponse{matchingResponse("whole", backendFields_), {}, AfterResponse::KeepOpen, false, {}, {}, Millis()};
         }
         ScriptedResponse response = scriptedResponses_.front();
         scriptedResponses_.pop_front();
@@ -434,7 +437,7 @@
             const ScriptedResponse response = nextResponse(std::string(parser.get()["Attempt-Id"]));
             const std::size_t number = receivedRequests_.size();
             const Millis receivedAt = WorldRunner::now();
-            receivedRequests_.push_back(ReceivedRequest{parser.get(), connection, false, 0, {}});
+            receivedRequests_.push_back(ReceivedRequest{parser.get(), connection, receivedAt, false, 0, {}});
             if (response.earlyDelay_ > Millis()) {
                 asio::steady_timer timer(context_, toChrono(response.earlyDelay_));
                 co_await timer.async_wait(asio::use_awaitable);
@@ -537,10 +540,11 @@
     }
 
 public:
-    // A complete response that matches the request, with signature and length.
-    static std::string matchingResponse(const std::string &body)
+    // A complete response that matches the request, with signature and length, and with further header fields.
+    static std::string matchingResponse(const std::string &body, const std::string &fields = {})
     {
-        return "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        return "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: s\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+            + body;
     }
 
 private:
