Incident: logs and metrics show request limits and leaving servers

Cause: nothing that a daemon writes shows whether a server states a limit, so that the hypotheses cannot be told apart. The adapter decodes both fields once, of responses of any kind, refusals and health checks included; the decision library records and logs changes. No decision uses them yet.

--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -731,7 +731,8 @@
     row.slownessAtHandOver_ = backend.slowness_;
     logHandOver(world, row);
     world.counters_.add(Counter::HandedOver);
-    world.emit(HandOver{row.exchange_, backend.address_, backend.id_, row.deadline_ - world.now_, maxReuseIdleTime(world)});
+    const BackendStart start{backend.id_, backend.incarnation_};
+    world.emit(HandOver{row.exchange_, backend.address_, start, row.deadline_ - world.now_, maxReuseIdleTime(world)});
 }
 
 void failAdmission(World &world, AdmissionId id, ResultCode code)
--- a/src/call/admission_table.h
+++ b/src/call/admission_table.h
@@ -6,6 +6,7 @@
 #include "fleet/instance_type.h"
 
 #include <deque>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -42,6 +43,8 @@
     std::uint64_t sequence_ = 0;
     // True after it deregistered; only a new start resets this.
     bool isDeregistered_ = false;
+    // True after it stated in a response that it leaves; only a new start resets this.
+    bool isLeaving_ = false;
     // Latest reported service time as a percentage of the usual one, and when it was reported; zero when it was never reported.
     Percent slowness_;
     Millis slownessAt_;
@@ -60,6 +63,16 @@
     double baselineSlowness_ = 0;
 };
 
+// Limit on the requests that the backend server takes from all daemons together. All of them pass through this one.
+struct RequestLimitTable {
+    // Limit that the server states; absent while it states none.
+    std::optional<RequestRate> rate_;
+    // When the head of the response that changed the limit began to arrive.
+    Millis statedAt_;
+    // Latest limit that was not a plain number, as the server wrote it.
+    std::string unusualLimit_;
+};
+
 // Deregistration of a backend server that had not announced itself to this process.
 struct EarlyDeregistration {
     BackendId id_;
@@ -109,6 +122,7 @@
     LocalBackend backend_;
     CheckTable checks_;
     ConnectionReuseTable connectionReuse_;
+    RequestLimitTable limit_;
     // Latest deregistrations that arrived before any announcement with that id.
     std::deque<EarlyDeregistration> earlyDeregistrations_;
     // By index of the class in the service's ticket. Routed requests share index 0.
--- a/src/call/backend_cmd.cpp
+++ b/src/call/backend_cmd.cpp
@@ -193,6 +193,8 @@
         backend.latency_ = Millis();
         backend.id_ = event.id_;
         backend.isDeregistered_ = wasDeregistered(world, event.id_, event.incarnation_);
+        backend.isLeaving_ = false;
+        world.admissions_.limit_ = RequestLimitTable{};
         backend.slowness_ = Percent();
         backend.baselineSlowness_ = 0;
         backend.nearFullSamples_ = 0;
--- a/src/call/backend_speed_system.cpp
+++ b/src/call/backend_speed_system.cpp
@@ -62,7 +62,7 @@
     checks.startedAt_ = world.now_;
     checks.nextAt_ = Millis::never();
     world.counters_.add(Counter::BackendChecks);
-    world.emit(CheckBackendHealth{backend.address_, findHealthPath(world.routes_, backend.service_)});
+    world.emit(CheckBackendHealth{backend.address_, backend.incarnation_, findHealthPath(world.routes_, backend.service_)});
 }
 
 // Ends the requests whose result depended on whether the backend server crashed.
--- a/src/core/units_type.h
+++ b/src/core/units_type.h
@@ -14,6 +14,9 @@
 // Number of requests that a backend server runs at the same time.
 using Slots = Quantity<struct SlotsTag, std::int32_t>;
 
+// Requests per second.
+using RequestRate = StrongType<struct RequestRateTag, double>;
+
 // A share in thousandths.
 using Permille = Quantity<struct PermilleTag, std::int32_t>;
 
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -88,6 +88,12 @@
     addLine(text, "calls", world.calls_.calls_.size());
     addLine(text, "admissions", world.admissions_.rows_.size());
     addLine(text, "in_flight", static_cast<std::uint64_t>(world.admissions_.inFlight_.value()));
+    addLine(text, "backend_leaving", world.admissions_.backend_.isLeaving_ ? 1 : 0);
+    if (world.admissions_.limit_.rate_) {
+        std::ostringstream line;
+        line << "radishford_request_limit " << world.admissions_.limit_.rate_->value() << "\n";
+        text += line.str();
+    }
     addLine(text, "instances", world.fleet_.rows_.size());
     addLine(text, "suspects", world.suspects_.rows_.size());
 }
--- a/src/fleet/instance_type.h
+++ b/src/fleet/instance_type.h
@@ -29,6 +29,15 @@
     Draining, // Finishes the requests in flight and accepts no new ones.
 };
 
+// One start of a backend server.
+struct BackendStart {
+    // Id of the server; empty when it has none. A server may start again under the same id.
+    BackendId id_;
+    // Start number of the server; zero when it does not name one.
+    Incarnation incarnation_;
+    bool operator==(const BackendStart &) const = default;
+};
+
 // Record of one instance that gossip disseminates. Only the instance itself raises the version.
 struct InstanceRecord {
     // Unique name.
--- a/src/net/backend_client.cpp
+++ b/src/net/backend_client.cpp
@@ -132,10 +132,12 @@
 
 void BackendClient::startRequest(const RequestPtr &request, const HandOver &effect)
 {
-    request->requestContext_.id_ = effect.id_;
-    request->deadline_ = WorldRunner::now() + effect.remaining_;
+    request->requestContext_.id_ = effect.backend_.id_;
+    request->incarnation_ = effect.backend_.incarnation_;
+    request->handedOverAt_ = WorldRunner::now();
+    request->deadline_ = request->handedOverAt_ + effect.remaining_;
     request->maxReuseIdleTime_ = effect.maxReuseIdleTime_;
-    asio::co_spawn(worldRunner_.context(), runRequest(request, effect.backend_), asio::detached);
+    asio::co_spawn(worldRunner_.context(), runRequest(request, effect.address_), asio::detached);
 }
 
 void BackendClient::cancelRequest(BackendRequest &request)
@@ -194,7 +196,8 @@
 Task<> BackendClient::runCheck(CheckBackendHealth effect)
 {
     BackendChecked event;
-    const AcquiredConnection acquired = co_await acquireConnection(effect.backend_, Millis::never());
+    const Millis startedAt = WorldRunner::now();
+    const AcquiredConnection acquired = co_await acquireConnection(effect.address_, Millis::never());
     const StreamPtr stream = acquired.stream_;
     if (stream) {
         error_code errorCode;
@@ -214,9 +217,13 @@
             event.ok_ = parser.get().result() == http::status::ok;
             event.id_ = adapter_.readBackendId(parser.get());
             event.load_ = adapter_.readLoad(parser.get());
+            if (!event.id_.value().empty()) {
+                const BackendStart answering{event.id_, effect.incarnation_};
+                worldRunner_.post(BackendStated{answering, startedAt, head.startedAt_, adapter_.readNotice(parser.get())});
+            }
             const bool isReusable = co_await skipBody(*stream, buffer, parser) && parser.keep_alive() && buffer.size() == 0 && !head.hasSkippedResponse_;
             stream->expires_never();
-            returnToPool(effect.backend_, stream, isReusable ? readKeepAliveTime(parser.get()) : Millis());
+            returnToPool(effect.address_, stream, isReusable ? readKeepAliveTime(parser.get()) : Millis());
         }
     }
     worldRunner_.post(event);
@@ -327,7 +334,11 @@
         parser.header_limit(MaxResponseHeadBytes);
         parser.body_limit(boost::none);
         parser.skip(request.method_ == "HEAD");
-        head.error_ = co_await readHead(stream, buffer, parser, MaxResponseHeadBytes);
+        head.error_ = co_await awaitBytes(stream, buffer);
+        head.startedAt_ = WorldRunner::now();
+        if (!head.error_) {
+            head.error_ = co_await readHead(stream, buffer, parser, MaxResponseHeadBytes);
+        }
         if (head.error_) {
             co_return head;
         }
@@ -349,6 +360,29 @@
     co_return head;
 }
 
+Task<error_code> BackendClient::awaitBytes(beast::tcp_stream &stream, beast::flat_buffer &buffer)
+{
+    error_code errorCode;
+    if (buffer.size() == 0) {
+        const std::size_t size = co_await stream.async_read_some(buffer.prepare(SkipReadBytes), asio::redirect_error(asio::use_awaitable, errorCode));
+        buffer.commit(size);
+    }
+    co_return errorCode == asio::error::eof ? error_code(http::error::end_of_stream) : errorCode;
+}
+
+void BackendClient::postNotice(const BackendRequest &request, const ReceivedHead &head, bool isAmbiguous)
+{
+    const BackendResponseHeader &header = head.parser_->get();
+    const bool isOwn = head.kind_ != ResponseKind::WrongInstance && (adapter_.namesRequest(header) || head.kind_ == ResponseKind::Refused);
+    if (!isOwn) {
+        return;
+    }
+    BackendNotice notice = adapter_.readNotice(header);
+    notice.isLimitKnown_ = notice.isLimitKnown_ && !isAmbiguous;
+    const BackendStart backend{request.requestContext_.id_, request.incarnation_};
+    worldRunner_.post(BackendStated{backend, request.handedOverAt_, head.startedAt_, notice});
+}
+
 Task<BackendClient::ResponseResult> BackendClient::readResponse(BackendRequest &request, const AcquiredConnection &connection)
 {
     beast::tcp_stream &stream = *connection.stream_;
@@ -364,6 +398,7 @@
     // A refusal that names no request may be the repetition of one that was sent for an earlier request.
     const bool namesRequest = adapter_.namesRequest(parser.get());
     const bool isAmbiguous = isRefusal(head.kind_) && !namesRequest && (connection.isReused_ || head.hasSkippedResponse_);
+    postNotice(request, head, isAmbiguous);
     result.kind_ = isAmbiguous ? ResponseKind::Invalid : head.kind_;
     result.status_ = static_cast<std::uint16_t>(parser.get().result_int());
     result.load_ = adapter_.readLoad(parser.get());
--- a/src/net/backend_client.h
+++ b/src/net/backend_client.h
@@ -18,7 +18,10 @@
     std::uint64_t attempt_ = 0;
     RequestHead head_;
     BackendRequestContext requestContext_;
-    // Time by which the backend server must have responded.
+    // Start number of the backend server that must run the request.
+    Incarnation incarnation_;
+    // When the request was handed over, and the time by which the backend server must have responded.
+    Millis handedOverAt_;
     Millis deadline_;
     // A pooled connection that has been idle for longer is not reused.
     Millis maxReuseIdleTime_ = Millis::never();
@@ -76,6 +79,8 @@
         std::unique_ptr<ResponseParser> parser_;
         // True when responses to earlier requests came first.
         bool hasSkippedResponse_ = false;
+        // When its first bytes were read.
+        Millis startedAt_;
     };
 
     // Result of reading a response.
@@ -120,6 +125,12 @@
     // Reads heads until one is final and does not belong to an earlier request. Bodies of responses to earlier requests are skipped.
     Task<ReceivedHead> receiveHead(const RequestHead &request, beast::tcp_stream &stream, beast::flat_buffer &buffer);
 
+    // Reads some bytes unless the buffer holds any.
+    static Task<error_code> awaitBytes(beast::tcp_stream &stream, beast::flat_buffer &buffer);
+
+    // Posts what the head of a response to the request states about the backend server.
+    void postNotice(const BackendRequest &request, const ReceivedHead &head, bool isAmbiguous);
+
     // Reads the response to the request, and forwards it unless it is a refusal or invalid.
     Task<ResponseResult> readResponse(BackendRequest &request, const AcquiredConnection &connection);
 
--- a/src/net/http_adapters.h
+++ b/src/net/http_adapters.h
@@ -89,6 +89,9 @@
     // Reads the load that a response header reports; all zero when it reports none.
     [[nodiscard]] virtual BackendLoad readLoad(const BackendResponseHeader &response) const = 0;
 
+    // Reads what a response header states about the backend server.
+    [[nodiscard]] virtual BackendNotice readNotice(const BackendResponseHeader &response) const = 0;
+
     // Reads the id of the backend server that responded to a health check; empty when the response has none.
     [[nodiscard]] virtual BackendId readBackendId(const BackendResponseHeader &response) const = 0;
 
--- a/src/net/native_adapters.cpp
+++ b/src/net/native_adapters.cpp
@@ -90,6 +90,11 @@
         return {};
     }
 
+    [[nodiscard]] BackendNotice readNotice(const BackendResponseHeader & /*response*/) const override
+    {
+        return {};
+    }
+
     [[nodiscard]] BackendId readBackendId(const BackendResponseHeader & /*response*/) const override
     {
         return {};
--- a/src/world/counters.h
+++ b/src/world/counters.h
@@ -36,6 +36,7 @@
     SuspectsMarked, // Requests that were running at a backend server failure.
     Quarantines, // Requests refused because of two failures.
     BackendChecks, // Health checks of the local backend server.
+    LimitChanges, // Changes of the request limit that the local backend server states.
     Count, // Number of counters.
 };
 
--- a/src/world/dispatch_system.cpp
+++ b/src/world/dispatch_system.cpp
@@ -4,6 +4,7 @@
 #include "call/admission_func.h"
 #include "call/attempt_func.h"
 #include "call/backend_func.h"
+#include "call/backend_notice_func.h"
 #include "call/backend_speed_func.h"
 #include "call/call_func.h"
 #include "fleet/gossip_func.h"
--- a/src/world/effect_type.h
+++ b/src/world/effect_type.h
@@ -76,9 +76,9 @@
 // Hand the request over to the backend server.
 struct HandOver {
     ExchangeHandle exchange_;
-    Address backend_;
-    // Id of the backend server that must run the request; empty when any may.
-    BackendId id_;
+    Address address_;
+    // The backend server that must run the request. Any may when its id is empty.
+    BackendStart backend_;
     // Time left for the response.
     Millis remaining_;
     // A pooled connection that has been idle for longer than this is not reused.
@@ -87,7 +87,9 @@
 
 // Check the health and load of the backend server over HTTP.
 struct CheckBackendHealth {
-    Address backend_;
+    Address address_;
+    // Start number of the backend server that is announced for the address.
+    Incarnation incarnation_;
     std::string path_;
 };
 
--- a/src/world/event_type.h
+++ b/src/world/event_type.h
@@ -12,6 +12,7 @@
 #include "world/world_settings.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -140,6 +141,28 @@
     Percent slowness_;
 };
 
+// What a backend server states about itself in the head of a response.
+struct BackendNotice {
+    // Requests per second that it takes from all daemons together; absent when it states no limit.
+    std::optional<RequestRate> limit_;
+    // False when the response states a limit that cannot be read, or may be a copy of an older one. The limit stays as it was then.
+    bool isLimitKnown_ = true;
+    // The limit as the server wrote it, when it is not a single plain number; for the log.
+    std::string unusualLimit_{};
+    // True when the server leaves: it takes no new requests soon.
+    bool isLeaving_ = false;
+};
+
+// The head of a response to a request or a health check arrived from the backend server, whatever becomes of the response.
+struct BackendStated {
+    // The start of the server that responded.
+    BackendStart backend_;
+    // When the request or the health check was sent, and when the head began to arrive.
+    Millis askedAt_;
+    Millis statedAt_;
+    BackendNotice notice_;
+};
+
 // The complete response of the backend server was relayed.
 struct BackendResponded {
     ExchangeHandle exchange_;
@@ -240,8 +263,8 @@
 // Any event. The dispatch table in world/dispatch_system.cpp is indexed by alternative.
 using Event = std::variant<CallArrived, RequestRefused, CallerDisconnected, CallerBodyFailed, OfferReplied, WithdrawalReplied, AttemptFailed, ResponseStarted,
                            ResponseCompleted, ExchangeConnectionLost, OfferArrived, ConfirmationArrived, BodyArrived, WithdrawalArrived, PeerDisconnected,
-                           BackendResponded, BackendFailed, BackendChecked, BackendAnnounced, BackendDeregistered, DatagramArrived, TicketBatchArrived,
-                           StoreResponded, TicketSubmitted, SettingsChanged, ShutdownRequested>;
+                           BackendStated, BackendResponded, BackendFailed, BackendChecked, BackendAnnounced, BackendDeregistered, DatagramArrived,
+                           TicketBatchArrived, StoreResponded, TicketSubmitted, SettingsChanged, ShutdownRequested>;
 
 // Events in order of arrival.
 using Inbox = std::vector<Event>;
