--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -1,10 +1,12 @@
 // Admission of requests to the local backend server. Every request to it passes through here.
 #include "call/admission_func.h"
 #include "call/backend_func.h"
+#include "call/backend_notice_func.h"
 #include "call/backend_speed_func.h"
 #include "call/connection_reuse_func.h"
 #include "call/link_load_func.h"
 #include "call/load_shedding_func.h"
+#include "call/request_limit_func.h"
 #include "call/suspect_func.h"
 #include "call/transit_func.h"
 #include "store/claim_func.h"
@@ -105,6 +107,10 @@
         return ResultCode::BackendDraining;
     }
     const bool isReady = backend.state_ == BackendState::Ready && backend.service_ == offer.service_;
+    if (offer.routed_ && isReady && !backend.isNoticeKnown_ && world.settings_.backendChecksPerSecond_ > 0 && !world.tickets_.isCurrent_) {
+        // The health path that tells whether the server leaves or limits its requests is not known yet.
+        return ResultCode::NotReady;
+    }
     return isReady ? ResultCode::Ok : ResultCode::BackendNotReady;
 }
 
@@ -139,7 +145,7 @@
     const bool isClassShareFree = classQueue(world, classIndex).inFlight_ < classSlotLimit(world, requestClass);
     const bool isSuspectAllowed = table.suspectsHoldingSlots_ == 0 || !isSuspect(world, fingerprint);
     if (world.settings_.isRouted_) {
-        return isSlotFree && isSuspectAllowed;
+        return isSlotFree && isSuspectAllowed && allowsAdmission(world) && !awaitsNotice(world);
     }
     return isSlotFree && isClassShareFree && isSuspectAllowed;
 }
@@ -165,12 +171,13 @@
     row.promisedResponseBytes_ = expectedResponseSize(world, row);
     table.promisedResponseBytes_ += row.promisedResponseBytes_;
     row.wasSuspectAtStart_ = isSuspect(world, row.offer_.fingerprint_);
+    reserveToken(world, row);
     table.suspectsHoldingSlots_ += row.wasSuspectAtStart_ ? 1 : 0;
     world.counters_.add(Counter::Admitted);
 }
 
 // Releases the slot of a request, or its entry in the queue counters if it is still queued.
-void releaseSlotOrQueueEntry(World &world, const Admission &row)
+void releaseSlotOrQueueEntry(World &world, Admission &row)
 {
     AdmissionTable &table = world.admissions_;
     ClassQueue &queue = classQueue(world, row.classIndex_);
@@ -179,6 +186,7 @@
         table.queued_ -= Slots(1);
         return;
     }
+    releaseToken(world, row);
     table.inFlight_ -= Slots(1);
     table.promisedResponseBytes_ -= row.promisedResponseBytes_;
     queue.inFlight_ -= Slots(1);
@@ -188,7 +196,7 @@
 // Removes a request and ends its span.
 void removeAdmission(World &world, AdmissionId id, ResultCode code)
 {
-    const Admission row = *world.admissions_.rows_.get(id);
+    Admission row = *world.admissions_.rows_.get(id);
     releaseSlotOrQueueEntry(world, row);
     world.admissions_.byExchange_.erase(row.exchange_);
     world.admissions_.rows_.remove(id);
@@ -276,12 +284,14 @@
 }
 
 // Returns the sort key of a routed request; the request with the smallest key runs first. Requests that can still meet their latency target
-// come before others, then the priority decides, then the target or deadline.
+// come before others, then the priority decides, then the target or deadline. While the backend server limits its requests the priority decides first, and
+// then calls of running requests come before others.
 auto schedulingKey(const World &world, const Admission &row)
 {
     const Millis targetAt = row.arrivedAt_ + row.offer_.latencyTargetRemaining_;
     const bool missesTarget = targetAt < world.now_ + typicalServiceTime(world, row.offer_);
-    return std::tuple(missesTarget, row.offer_.priority_, missesTarget ? row.deadline_ : targetAt);
+    const std::int32_t rank = world.admissions_.limit_.rate_ ? limitRank(row.offer_) : 0;
+    return std::tuple(rank, missesTarget, row.offer_.priority_, missesTarget ? row.deadline_ : targetAt);
 }
 
 // True when the first request should run before the second: by arrival, or by scheduling key when the settings ask for it.
@@ -386,12 +396,38 @@
     const std::deque<AdmissionId> waiting = classQueue(world, 0).waiting_;
     for (const AdmissionId id : waiting) {
         const Admission *row = world.admissions_.rows_.get(id);
-        if (row != nullptr && cannotFinishInTime(world, *row)) {
+        if (row != nullptr && cannotFinishInTime(world, *row, Millis())) {
             failAdmission(world, id, ResultCode::DeadlineNotRun);
         }
     }
 }
 
+// Fails queued routed requests that the backend server's request limit lets start too late, in the order in which they would run.
+void failLimited(World &world)
+{
+    if (!world.admissions_.limit_.rate_) {
+        return;
+    }
+    std::vector<AdmissionId> waiting;
+    for (const AdmissionId id : classQueue(world, 0).waiting_) {
+        if (world.admissions_.rows_.get(id) != nullptr) {
+            waiting.push_back(id);
+        }
+    }
+    std::sort(waiting.begin(), waiting.end(), [&](AdmissionId first, AdmissionId second) {
+        return runsBefore(world, *world.admissions_.rows_.get(first), *world.admissions_.rows_.get(second));
+    });
+    std::int64_t ahead = 0;
+    for (const AdmissionId id : waiting) {
+        const Admission &row = *world.admissions_.rows_.get(id);
+        if (cannotFinishInTime(world, row, timeUntilToken(world, ahead, limitRank(row.offer_)))) {
+            failAdmission(world, id, ResultCode::BackendLimited);
+        } else {
+            ++ahead;
+        }
+    }
+}
+
 // Removes the routed request that should run next from the queue and returns it; invalid when none may run now.
 AdmissionId dequeueRouted(World &world)
 {
@@ -430,6 +466,17 @@
 void admitFromRoutedQueue(World &world)
 {
     failUnfinishable(world);
+    failLimited(world);
+    if (!allowsAdmission(world)) {
+        replyToQueued(world);
+        return;
+    }
+    if (awaitsNotice(world)) {
+        if (world.admissions_.backend_.hasBeenChecked_) {
+            replyToQueued(world);
+        }
+        return;
+    }
     const BackendSpeed speed = backendSpeed(world);
     if (speed == BackendSpeed::Unknown) {
         requestCheck(world);
@@ -689,6 +736,7 @@
 void runAdmit(World &world)
 {
     checkAnnouncementAndDrain(world);
+    refreshLimit(world);
     AdmissionTable &table = world.admissions_;
     if (world.settings_.isRouted_) {
         if (table.queued_ > Slots()) {
@@ -722,6 +770,10 @@
         failAdmission(world, id, ResultCode::Quarantined);
         return;
     }
+    if (!spendToken(world, row)) {
+        failAdmission(world, id, ResultCode::BackendLimited);
+        return;
+    }
     const LocalBackend &backend = world.admissions_.backend_;
     row.state_ = AdmissionState::Running;
     row.handedOverAt_ = world.now_;
--- a/src/call/admission_table.h
+++ b/src/call/admission_table.h
@@ -45,6 +45,10 @@
     bool isDeregistered_ = false;
     // True after it stated in a response that it leaves; only a new start resets this.
     bool isLeaving_ = false;
+    // True once a response of this start has told whether it limits its requests or leaves.
+    bool isNoticeKnown_ = false;
+    // True once a health check of this start has ended, with a response or without.
+    bool hasBeenChecked_ = false;
     // Latest reported service time as a percentage of the usual one, and when it was reported; zero when it was never reported.
     Percent slowness_;
     Millis slownessAt_;
@@ -63,6 +67,12 @@
     double baselineSlowness_ = 0;
 };
 
+// A request that was handed over, and its rank: requests with a lower one come first while the server limits its requests.
+struct RecentHandOver {
+    Millis at_;
+    std::int32_t rank_ = 0;
+};
+
 // Limit on the requests that the backend server takes from all daemons together. All of them pass through this one.
 struct RequestLimitTable {
     // Limit that the server states; absent while it states none.
@@ -71,6 +81,14 @@
     Millis statedAt_;
     // Latest limit that was not a plain number, as the server wrote it.
     std::string unusualLimit_;
+    // Tokens for hand-overs; only used while there is a limit.
+    TokenBucket tokens_;
+    // Number of admitted requests that have not been handed over yet.
+    std::int32_t reserved_ = 0;
+    // Hand-overs in the last seconds and since the server first stated a limit, oldest first.
+    std::deque<RecentHandOver> recentHandOvers_;
+    // When the server was last asked, by a request or a health check, whether its limit still holds.
+    Millis askedAt_;
 };
 
 // Deregistration of a backend server that had not announced itself to this process.
@@ -86,6 +104,8 @@
     // True while a check is in progress.
     bool running_ = false;
     Millis startedAt_;
+    // The start of the backend server that it is for.
+    BackendStart backend_;
     // True once the backend server responded to a check without reporting its load.
     bool lacksLoad_ = false;
     // Token bucket that limits checks to the rate from the settings.
--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -280,7 +280,8 @@
 void markFullIfAtCapacity(World &world, const Attempt &attempt, const OfferReply &reply)
 {
     Instance *instance = world.fleet_.rows_.get(attempt.instance_);
-    const bool isAtCapacity = reply.verdict_ == Verdict::Queued || static_cast<ResultCode>(reply.code_) == ResultCode::Overloaded;
+    const auto code = static_cast<ResultCode>(reply.code_);
+    const bool isAtCapacity = reply.verdict_ == Verdict::Queued || code == ResultCode::Overloaded || code == ResultCode::BackendLimited;
     if (instance != nullptr && isAtCapacity) {
         markFull(world, *instance);
     }
@@ -315,6 +316,7 @@
     offer.latencyTargetRemaining_ = call.latencyTargetDeadline_ - world.now_;
     offer.isBodyInline_ = attempt.sentBodyInline_;
     offer.requiresWholeBody_ = call.requiresWholeBody_;
+    offer.isFromBackend_ = call.isFromBackend_;
     offer.trace_ = call.trace_;
     offer.parentSpan_ = attempt.span_;
     return offer;
@@ -443,6 +445,7 @@
         break;
     case Verdict::Queued:
         world.calls_.attempts_.get(event.attempt_)->awaitsSpeed_ = isSlowWithFreeSlots(event.reply_.report_);
+        world.calls_.attempts_.get(event.attempt_)->awaitsLimit_ = event.reply_.report_.limitWait_ > Millis();
         handleQueued(world, event.attempt_);
         break;
     case Verdict::Refused:
--- a/src/call/backend_cmd.cpp
+++ b/src/call/backend_cmd.cpp
@@ -1,6 +1,8 @@
 // The local backend server: announcements, readiness, limits and load.
 #include "call/admission_func.h"
 #include "call/backend_func.h"
+#include "call/backend_notice_func.h"
+#include "call/request_limit_func.h"
 #include "fleet/gossip_func.h"
 #include "fleet/instance_func.h"
 #include "measure/measurement_budget_func.h"
@@ -192,9 +194,10 @@
         backend.incarnation_ = event.incarnation_;
         backend.latency_ = Millis();
         backend.id_ = event.id_;
+        if (hasRestarted) {
+            resetNotices(world);
+        }
         backend.isDeregistered_ = wasDeregistered(world, event.id_, event.incarnation_);
-        backend.isLeaving_ = false;
-        world.admissions_.limit_ = RequestLimitTable{};
         backend.slowness_ = Percent();
         backend.baselineSlowness_ = 0;
         backend.nearFullSamples_ = 0;
@@ -233,7 +236,8 @@
     const Millis expiresAt = table.backend_.announcedAt_ + world.settings_.announcementLease_;
     const bool isCold = currentSlotLimit(world) < table.backend_.slots_;
     const bool risesForQueue = isCold && table.queued_ > Slots();
-    return risesForQueue ? std::min(expiresAt, world.now_ + ColdLimitInterval) : expiresAt;
+    const Millis due = std::min(expiresAt, nextRequestLimitDue(world));
+    return risesForQueue ? std::min(due, world.now_ + ColdLimitInterval) : due;
 }
 
 LoadReport currentLoadReport(const World &world)
@@ -243,8 +247,11 @@
     constexpr double PercentScale = 100.0;
     const Percent fullWork(static_cast<std::int32_t>(backend.nearFullSlownessSum_ * PercentScale));
     const Percent failureShare(static_cast<std::int32_t>(currentFailureShare(world) * PercentScale));
-    return LoadReport{table.inFlight_, table.queued_, currentSlotLimit(world), backend.latency_, backend.slowness_, backend.nearFullSamples_,
+    LoadReport report{table.inFlight_, table.queued_, currentSlotLimit(world), backend.latency_, backend.slowness_, backend.nearFullSamples_,
                       fullWork,        failureShare};
+    report.requestInterval_ = requestInterval(world);
+    report.limitWait_ = timeUntilToken(world, table.queued_.value(), 0);
+    return report;
 }
 
 LoadReport loadReportFor(World &world, const InstanceName &receiver)
--- a/src/call/backend_notice_func.h
+++ b/src/call/backend_notice_func.h
@@ -1,6 +1,7 @@
 // What the local backend server states about itself in its responses: its request limit, and that it leaves.
 #pragma once
 
+#include "fleet/instance_type.h"
 #include "world/event_type.h"
 
 namespace radishford {
@@ -10,4 +11,11 @@
 // Applies what a response states. A response of an earlier start of the server is ignored.
 void handle(World &world, const BackendStated &event);
 
+// Forgets what the previous start of the server stated.
+void resetNotices(World &world);
+
+// True when a request must wait until the server has told whether it limits its requests or leaves. Starts the health check that asks it. Without a response to
+// that, one request at a time may run until one is answered.
+bool awaitsNotice(World &world);
+
 } // namespace radishford
--- a/src/call/backend_speed_func.h
+++ b/src/call/backend_speed_func.h
@@ -23,6 +23,9 @@
     Unknown, // The latest load report is too old; a check is needed.
 };
 
+// True when checks are enabled and the health path of the service is known.
+bool canCheckBackend(const World &world);
+
 // Returns whether the backend server works at its normal speed, so that work may start now.
 BackendSpeed backendSpeed(World &world);
 
@@ -42,6 +45,9 @@
 // Sends a check of the backend server's load unless one is in progress or the check budget is spent.
 void requestCheck(World &world);
 
+// Sends a check unless one is in progress, whatever is left of the check budget. The backend server must have a health path.
+void startCheck(World &world);
+
 // Schedules the next check if requests are queued and the backend server is slow.
 void scheduleCheck(World &world, BackendSpeed speed);
 
--- a/src/call/backend_speed_system.cpp
+++ b/src/call/backend_speed_system.cpp
@@ -46,13 +46,6 @@
 // Maximum relative service time that one response counts with: a longer one was waiting for something else.
 constexpr double MaxRelativeServiceTime = 3.0;
 
-// True when checks are enabled and the health path of the service is known.
-bool canCheck(const World &world)
-{
-    const LocalBackend &backend = world.admissions_.backend_;
-    return world.settings_.backendChecksPerSecond_ > 0 && !findHealthPath(world.routes_, backend.service_).empty();
-}
-
 // Sends a check.
 void sendCheck(World &world)
 {
@@ -60,6 +53,7 @@
     const LocalBackend &backend = world.admissions_.backend_;
     checks.running_ = true;
     checks.startedAt_ = world.now_;
+    checks.backend_ = BackendStart{backend.id_, backend.incarnation_};
     checks.nextAt_ = Millis::never();
     world.counters_.add(Counter::BackendChecks);
     world.emit(CheckBackendHealth{backend.address_, backend.incarnation_, findHealthPath(world.routes_, backend.service_)});
@@ -83,7 +77,7 @@
 // Starts the check that decides the interrupted requests. Without checks they count as crashes.
 void decideInterrupted(World &world)
 {
-    if (canCheck(world)) {
+    if (canCheckBackend(world)) {
         sendCheck(world);
     } else {
         endInterrupted(world, false);
@@ -137,10 +131,16 @@
 
 } // namespace
 
+bool canCheckBackend(const World &world)
+{
+    const LocalBackend &backend = world.admissions_.backend_;
+    return world.settings_.backendChecksPerSecond_ > 0 && !findHealthPath(world.routes_, backend.service_).empty();
+}
+
 BackendSpeed backendSpeed(World &world)
 {
     const LocalBackend &backend = world.admissions_.backend_;
-    if (!canCheck(world)) {
+    if (!canCheckBackend(world)) {
         return BackendSpeed::Normal;
     }
     if (world.admissions_.checks_.lacksLoad_) {
@@ -196,7 +196,7 @@
 void requestCheck(World &world)
 {
     CheckTable &checks = world.admissions_.checks_;
-    if (checks.running_ || !canCheck(world)) {
+    if (checks.running_ || !canCheckBackend(world)) {
         return;
     }
     if (checks.budget_.tryTake(1, world.now_)) {
@@ -204,6 +204,13 @@
     }
 }
 
+void startCheck(World &world)
+{
+    if (!world.admissions_.checks_.running_) {
+        sendCheck(world);
+    }
+}
+
 void scheduleCheck(World &world, BackendSpeed speed)
 {
     CheckTable &checks = world.admissions_.checks_;
@@ -226,8 +233,9 @@
 void handle(World &world, const BackendChecked &event)
 {
     CheckTable &checks = world.admissions_.checks_;
-    const LocalBackend &backend = world.admissions_.backend_;
+    LocalBackend &backend = world.admissions_.backend_;
     checks.running_ = false;
+    backend.hasBeenChecked_ = backend.hasBeenChecked_ || checks.backend_ == BackendStart{backend.id_, backend.incarnation_};
     const bool isSameServer = event.ok_ && (backend.id_.value().empty() || event.id_ == backend.id_);
     endInterrupted(world, isSameServer);
     checks.interrupted_ = std::exchange(checks.interruptedSinceCheck_, {});
--- a/src/call/call_base.h
+++ b/src/call/call_base.h
@@ -70,6 +70,8 @@
     bool mayHaveRun_ = false;
     // Number of backend servers that failed while they ran this call.
     std::int32_t backendFailures_ = 0;
+    // True when the local backend server made the call while it ran another request.
+    bool isFromBackend_ = false;
     TraceId trace_;
     SpanId span_;
     SpanId parentSpan_;
@@ -88,6 +90,8 @@
     Millis admittedAt_;
     // True when it is queued although slots are free: the server is in a slow period.
     bool awaitsSpeed_ = false;
+    // True when it is queued because the request limit of the server is used up.
+    bool awaitsLimit_ = false;
     // True when it was started while another attempt of an idempotent call ran.
     bool isHedge_ = false;
     // True for every attempt but the first of a call, including hedges: its traffic counts as retry.
@@ -126,6 +130,8 @@
     bool isVerdictSent_ = false;
     // True when the request was a suspect when it took its slot.
     bool wasSuspectAtStart_ = false;
+    // True from admission to hand-over: the request will use up a token of the backend server's request limit, if there is one.
+    bool reservesToken_ = false;
     SpanId span_;
 };
 
--- a/src/call/call_cmd.cpp
+++ b/src/call/call_cmd.cpp
@@ -121,6 +121,7 @@
     call.startedAt_ = world.now_ - event.bodyTime_;
     call.latencyTargetDeadline_ = call.startedAt_ + policy.latencyTarget_;
     call.deadline_ = call.startedAt_ + timeoutOf(event, policy);
+    call.isFromBackend_ = event.isFromBackend_;
     call.trace_ = event.trace_;
     call.parentSpan_ = event.parentSpan_;
     call.span_ = generateSpanId(world);
@@ -151,11 +152,26 @@
     return budget.tryTake(call.mayHaveRun_ ? RerunCost : ReofferCost, world.now_);
 }
 
+// True when the request limits of the backend servers leave no time for a call: each running one of the service has refused it, the last one for that reason.
+bool isLimitedEverywhere(const World &world, const Call &call)
+{
+    const auto members = world.fleet_.byService_.find(call.service_);
+    if (call.lastFailureCode_ != ResultCode::BackendLimited || members == world.fleet_.byService_.end()) {
+        return false;
+    }
+    return std::all_of(members->second.begin(), members->second.end(), [&](InstanceId id) {
+        const Instance &instance = *world.fleet_.rows_.get(id);
+        const auto &failed = call.failedInstances_;
+        const bool hasFailed = std::find(failed.begin(), failed.end(), instance.record_.name_) != failed.end();
+        return hasFailed || !isRunning(instance) || instance.record_.backend_ != BackendState::Ready;
+    });
+}
+
 // True when a backend server that gets capacity a little later could still respond to a routed call in time.
 bool canStillBeAnswered(const World &world, const Call &call)
 {
     const bool mayRetry = call.backendsReached_ < call.maxBackends_ && (!call.mayHaveRun_ || call.isIdempotent_);
-    return mayRetry && !cannotAnswerWithin(world, call.class_, call.deadline_ - world.now_ - CapacityRetryDelay);
+    return mayRetry && !isLimitedEverywhere(world, call) && !cannotAnswerWithin(world, call.class_, call.deadline_ - world.now_ - CapacityRetryDelay);
 }
 
 // Handles a routed call for which no further backend server is available now: routes it again after a delay, or fails it.
@@ -213,7 +229,10 @@
 bool hasEnoughOffers(const World &world, const Call &call)
 {
     const std::size_t limit = allAwaitSpeed(world, call, slowServerPatience(call)) ? MaxOffersAtSlowServers : MaxLiveAttempts;
-    return call.attempts_.size() >= limit;
+    const bool isLimited
+        = std::any_of(call.attempts_.begin(), call.attempts_.end(), [&](AttemptId id) { return world.calls_.attempts_.get(id)->awaitsLimit_; });
+    // An offer that waits for a request limit keeps its place there while the call looks for a server without one.
+    return call.attempts_.size() >= limit + (isLimited ? 1 : 0);
 }
 
 // Routes a call again once its offers have waited at slow servers for a while.
--- a/src/call/exchange_type.h
+++ b/src/call/exchange_type.h
@@ -44,6 +44,8 @@
     std::uint8_t priority_ = 0;
     // Time left until the latency target; negative once it has passed. Zero or negative when no target is set.
     Millis latencyTargetRemaining_;
+    // True when a backend server made the call while it ran another request.
+    bool isFromBackend_ = false;
     // True when the body follows the offer at once, so that an immediate admission needs no confirmation.
     bool isBodyInline_ = false;
     // True when the inbound side must have the whole body before it hands the request over.
--- a/src/call/load_shedding.cpp
+++ b/src/call/load_shedding.cpp
@@ -1,7 +1,9 @@
 // Rejects calls that no backend server can finish in time, and sets the retry delays for their callers.
 #include "call/load_shedding_func.h"
 
+#include "call/backend_speed_func.h"
 #include "call/call_base.h"
+#include "measure/latency_prediction_func.h"
 #include "world/shutdown_func.h"
 #include "world/world.h"
 
@@ -26,6 +28,8 @@
 constexpr double JitterRange = 0.5;
 // Delays until a restart are lengthened by up to this share.
 constexpr double RestartJitter = 0.25;
+// Delays until a request limit allows a request are lengthened by up to this share.
+constexpr double LimitJitter = 0.5;
 
 // Default retry delay for one reason of a refusal.
 struct RetryDelay {
@@ -34,11 +38,12 @@
 };
 
 // Reasons that may disappear soon. For any other reason a retry has no better chance.
-constexpr std::array<RetryDelay, 8> RetryDelays{{
+constexpr std::array<RetryDelay, 9> RetryDelays{{
     {ResultCode::NotReady, Millis(150)}, // A read of the store, or the response of a peer.
     {ResultCode::NoBackend, Millis(100)}, // The next announcement of a backend server.
     {ResultCode::Overloaded, Millis(100)}, // About one response of a full server.
     {ResultCode::NoRoom, Millis(100)}, // As above.
+    {ResultCode::BackendLimited, Millis(100)}, // As above, unless the limit lets it start later.
     {ResultCode::TooManyCalls, Millis(100)}, // As above.
     {ResultCode::BackendRefused, Millis(50)}, // A free slot.
     {ResultCode::RetryBudgetSpent, Millis(100)}, // The retried call gets a free first attempt again.
@@ -70,9 +75,12 @@
     return timeLeft < std::max(MinTimeLeft, shortestTime(world.calls_.shortestResponses_, name));
 }
 
-bool cannotFinishInTime(const World &world, const Admission &row)
+bool cannotFinishInTime(const World &world, const Admission &row, Millis wait)
 {
-    return row.deadline_ - world.now_ < CrossRegionAllowance + shortestTime(world.admissions_.shortestServiceTimes_, row.offer_.class_);
+    const Millis shortest = shortestTime(world.admissions_.shortestServiceTimes_, row.offer_.class_);
+    // Under a request limit, a request that likely does not finish in time would use up the place of one that does.
+    const Millis needed = world.admissions_.limit_.rate_ ? std::max(shortest, typicalServiceTime(world, row.offer_)) : shortest;
+    return row.deadline_ - world.now_ - wait < CrossRegionAllowance + needed;
 }
 
 Millis retryDelay(const World &world, ResultCode code, double draw)
@@ -96,6 +104,12 @@
         return delay;
     }
     const Millis timeLeft = call.deadline_ - world.now_;
+    const Millis limitWait = expectedLimitWait(world, call.service_);
+    if (limitWait > delay) {
+        // A retry before a server may take it would be refused again, so the delay is not shortened.
+        const Millis spreadWait = Millis::fromFractionalMillis(limitWait.fractionalMillis() * (1 + world.random_.uniformReal() * LimitJitter));
+        return cannotAnswerWithin(world, call.class_, timeLeft - spreadWait) ? Millis() : spreadWait;
+    }
     const Millis cappedDelay = Millis::fromFractionalMillis(std::min(delay.fractionalMillis(), timeLeft.fractionalMillis() * MaxRetryShare));
     return cannotAnswerWithin(world, call.class_, timeLeft - cappedDelay) ? Millis() : cappedDelay;
 }
--- a/src/call/load_shedding_func.h
+++ b/src/call/load_shedding_func.h
@@ -21,8 +21,8 @@
 // True when no backend server can respond to a call of the class within the time left.
 bool cannotAnswerWithin(const World &world, const ClassName &name, Millis timeLeft);
 
-// True when the local backend server cannot finish a queued request in time.
-bool cannotFinishInTime(const World &world, const Admission &row);
+// True when the local backend server cannot finish a queued request in time that starts after this wait.
+bool cannotFinishInTime(const World &world, const Admission &row, Millis wait);
 
 // Returns the retry delay for a refusal; zero when a retry does not help. The draw is uniform in [0, 1) and spreads callers over time.
 Millis retryDelay(const World &world, ResultCode code, double draw);
--- a/src/core/result_code.h
+++ b/src/core/result_code.h
@@ -41,6 +41,7 @@
     WrongInstance = 1022, // The address belongs to another instance now.
     NoRoute = 1023, // No route of the desired state matches the request.
     NoRoom = 1024, // No backend server has capacity to respond in time.
+    BackendLimited = 1025, // The request limit of the backend server is used up.
     AnswerLost = 2001, // The connection broke after hand-over.
     DeadlineUnknown = 2002, // The deadline passed after hand-over.
     KeyTaken = 2003, // The idempotency key was claimed by an earlier request.
--- a/src/core/token_bucket.h
+++ b/src/core/token_bucket.h
@@ -48,6 +48,14 @@
         return tokens_ >= units;
     }
 
+    // Returns the tokens that the bucket holds at a time that is not earlier than its last use.
+    [[nodiscard]] double tokensAt(Millis now) const
+    {
+        TokenBucket copy = *this;
+        copy.refill(now);
+        return copy.tokens_;
+    }
+
     // Adds tokens independent of the rate, up to the burst.
     void addTokens(double units)
     {
--- a/src/measure/latency_prediction.cpp
+++ b/src/measure/latency_prediction.cpp
@@ -79,6 +79,18 @@
     return OtherRegionRoundTripMs + std::min(kilobytes * CrossRegionMsPerKilobyte, target * MaxTargetShareForRegion);
 }
 
+// Predicts the wait for the request limit of an instance's backend server in milliseconds. Own attempts since the report use up the limit too.
+double limitWaitMs(const World &world, const Instance &instance)
+{
+    const LoadReport &report = instance.report_;
+    if (report.requestInterval_ == Millis() || instance.reportReceivedAt_ == Millis::never()) {
+        return 0;
+    }
+    const int started = std::min(instance.attemptsSinceReport_, instance.outstandingAttempts_);
+    const double age = (world.now_ - instance.reportReceivedAt_).fractionalMillis();
+    return std::max(0.0, report.limitWait_.fractionalMillis() + started * report.requestInterval_.fractionalMillis() - age);
+}
+
 // Predicts the service time of the call at an instance, and the wait for a slot before it, in milliseconds.
 double predictedWorkMs(const World &world, const Instance &instance)
 {
@@ -95,7 +107,7 @@
     const int started = std::min(instance.attemptsSinceReport_, instance.outstandingAttempts_);
     const double load = ((report.inFlight_ + report.queued_).value() * weight + started) / limit;
     const double wait = load > BusyLoad ? (load - BusyLoad + 0.1) * latency : 0;
-    return latency * slowness + wait;
+    return latency * slowness + std::max(wait, limitWaitMs(world, instance));
 }
 
 // Returns the share of requests that the instance's backend server failed by its latest report. The weight of the report decays with its
@@ -137,6 +149,12 @@
     const auto contains = [&](const std::vector<InstanceName> &list) { return std::find(list.begin(), list.end(), instance.record_.name_) != list.end(); };
     const bool running = isRunning(instance) && instance.record_.backend_ == BackendState::Ready;
     const bool wasTried = contains(call.failedInstances_) || contains(call.fullInstances_);
+    const bool awaitsLimit
+        = std::any_of(call.attempts_.begin(), call.attempts_.end(), [&](AttemptId attempt) { return world.calls_.attempts_.get(attempt)->awaitsLimit_; });
+    if (awaitsLimit && limitWaitMs(world, instance) > 0) {
+        // One place in the queue of a limited server is enough.
+        return false;
+    }
     const bool hasLiveAttempt
         = std::any_of(call.attempts_.begin(), call.attempts_.end(), [&](AttemptId attempt) { return world.calls_.attempts_.get(attempt)->instance_ == id; });
     return running && !wasTried && !hasLiveAttempt && instance.excludedUntil_ <= world.now_;
@@ -144,6 +162,23 @@
 
 } // namespace
 
+Millis expectedLimitWait(const World &world, const ServiceName &service)
+{
+    const auto members = world.fleet_.byService_.find(service);
+    double lowest = -1;
+    if (members == world.fleet_.byService_.end()) {
+        return Millis();
+    }
+    for (const InstanceId id : members->second) {
+        const Instance &instance = *world.fleet_.rows_.get(id);
+        if (isRunning(instance) && instance.record_.backend_ == BackendState::Ready) {
+            const double wait = limitWaitMs(world, instance);
+            lowest = lowest < 0 || wait < lowest ? wait : lowest;
+        }
+    }
+    return Millis::fromFractionalMillis(std::max(0.0, lowest));
+}
+
 InstanceId selectByPredictedLatency(World &world, const Call &call)
 {
     const auto members = world.fleet_.byService_.find(call.service_);
--- a/src/measure/latency_prediction_func.h
+++ b/src/measure/latency_prediction_func.h
@@ -1,6 +1,7 @@
 // Selects the backend server of a routed call by the predicted time until it responds.
 #pragma once
 
+#include "core/clock_type.h"
 #include "fleet/instance_type.h"
 
 namespace radishford {
@@ -13,4 +14,7 @@
 // eligible.
 InstanceId selectByPredictedLatency(World &world, const Call &call);
 
+// Returns the shortest wait for a request limit among the ready backend servers of a service, by their latest reports; zero when one of them has no limit.
+Millis expectedLimitWait(const World &world, const ServiceName &service);
+
 } // namespace radishford
--- a/src/measure/load_report_type.h
+++ b/src/measure/load_report_type.h
@@ -24,6 +24,10 @@
     Percent nearFullSlownessSum_;
     // Share of recent requests that the backend server failed, independent of the result of its health check.
     Percent failureShare_;
+    // Mean time between two requests that the backend server's request limit allows, and the time until it allows one more than those admitted and queued.
+    // Both are zero without a limit.
+    Millis requestInterval_{};
+    Millis limitWait_{};
 };
 
 } // namespace radishford
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -71,6 +71,14 @@
     return peerState(socket) == PeerState::Gone ? UnansweredReason::CallerReset : UnansweredReason::CallerClosed;
 }
 
+// True when a connection was opened from the address of the local backend server, which makes calls while it runs requests.
+bool isFromBackend(const World &world, const tcp::socket &socket)
+{
+    error_code errorCode;
+    const tcp::endpoint peer = socket.remote_endpoint(errorCode);
+    return !errorCode && peer.address().is_v4() && peer.address().to_v4().to_uint() == world.settings_.backendAddress_.ip_;
+}
+
 // Time by which a routed call must have its response; never() for other calls, whose limit the world determines.
 Millis responseDueAt(const CallArrived &event, Millis headerReadAt)
 {
@@ -519,6 +527,7 @@
         co_return false;
     }
     parsedHeader.event_.bodyTime_ = WorldRunner::now() - headerReadAt;
+    parsedHeader.event_.isFromBackend_ = isFromBackend(worldRunner_.world(), connection->stream_.socket());
     completeEvent(parsedHeader.event_, *request, request->header()["traceparent"]);
     request->setTrace(parsedHeader.event_.trace_);
     start(*connection, request, parsedHeader.event_);
--- a/src/table/result_codes.h
+++ b/src/table/result_codes.h
@@ -9,7 +9,7 @@
 
 // All result codes in ascending order of their numbers, which the binary search relies on.
 // clang-format off
-inline constexpr std::array<ResultCodeInfo, 52> ResultCodeTable{{
+inline constexpr std::array<ResultCodeInfo, 53> ResultCodeTable{{
     {ResultCode::Ok, Outcome::Answered, 200, "Ok", "Done."},
     {ResultCode::UnknownService, Outcome::NotRun, 404, "UnknownService", "No ticket in force declares the service."},
     {ResultCode::NoBackend, Outcome::NotRun, 503, "NoBackend", "No backend server of the service is known to be ready."},
@@ -35,6 +35,7 @@
     {ResultCode::WrongInstance, Outcome::NotRun, 503, "WrongInstance", "Another backend server has the address."},
     {ResultCode::NoRoute, Outcome::NotRun, 404, "NoRoute", "No route of the desired state takes the request."},
     {ResultCode::NoRoom, Outcome::NotRun, 503, "NoRoom", "No backend server can answer in time."},
+    {ResultCode::BackendLimited, Outcome::NotRun, 503, "BackendLimited", "The backend server's request limit is used up."},
     {ResultCode::AnswerLost, Outcome::Unknown, 502, "AnswerLost", "The connection broke after hand-over."},
     {ResultCode::DeadlineUnknown, Outcome::Unknown, 504, "DeadlineUnknown", "The deadline passed after hand-over."},
     {ResultCode::KeyTaken, Outcome::Unknown, 409, "KeyTaken", "The idempotency key was claimed by an earlier request."},
--- a/src/wire/serialize.h
+++ b/src/wire/serialize.h
@@ -169,22 +169,32 @@
     value = Slots(raw);
 }
 
-// A report takes one byte when it is absent and seventeen bytes when it is present.
+// Encodes or decodes a duration of at most an hour in four bytes; longer ones are clamped.
+template<typename Archive>
+void serializeMicros32(Archive &archive, Millis &value)
+{
+    auto micros = static_cast<std::uint32_t>(std::clamp<std::int64_t>(value.micros(), 0, 0xFFFFFFFF));
+    archive(micros);
+    value = Millis::fromMicros(micros);
+}
+
+// A report takes one byte when it is absent, seventeen bytes when it is present, and eight more when the backend server limits its requests.
 template<typename Archive>
 void serializeFields(Archive &archive, LoadReport &value)
 {
-    auto present = static_cast<std::uint8_t>(value.limit_.value() > 0 ? 1 : 0);
-    archive(present);
-    if (present == 0) {
+    constexpr std::uint8_t Present = 1;
+    constexpr std::uint8_t PresentWithLimit = 2;
+    auto kind = static_cast<std::uint8_t>(value.limit_.value() <= 0 ? 0 : value.requestInterval_ > Millis() ? PresentWithLimit : Present);
+    archive(kind);
+    checkRange(kind, PresentWithLimit);
+    if (kind == 0) {
         value = LoadReport{};
         return;
     }
     serializeSlots16(archive, value.inFlight_);
     serializeSlots16(archive, value.queued_);
     serializeSlots16(archive, value.limit_);
-    auto micros = static_cast<std::uint32_t>(std::clamp<std::int64_t>(value.latency_.micros(), 0, 0xFFFFFFFF));
-    archive(micros);
-    value.latency_ = Millis::fromMicros(micros);
+    serializeMicros32(archive, value.latency_);
     auto slowness = static_cast<std::uint16_t>(std::clamp(value.slowness_.value(), 0, 0xFFFF));
     archive(slowness);
     value.slowness_ = Percent(slowness);
@@ -197,6 +207,10 @@
     auto failureShare = static_cast<std::uint8_t>(std::clamp(value.failureShare_.value(), 0, 0xFF));
     archive(failureShare);
     value.failureShare_ = Percent(failureShare);
+    if (kind == PresentWithLimit) {
+        serializeMicros32(archive, value.requestInterval_);
+        serializeMicros32(archive, value.limitWait_);
+    }
 }
 
 template<typename Archive>
@@ -262,6 +276,7 @@
     serializeAll(archive, value.attempt_, value.sender_, value.callToken_, value.service_, value.class_, value.remaining_, value.fingerprint_);
     serializeAll(archive, value.key_, value.routed_, value.isIdempotent_, value.priority_, value.latencyTargetRemaining_);
     serializeAll(archive, value.isBodyInline_, value.requiresWholeBody_, value.trace_, value.parentSpan_, value.sentAt_);
+    serializeAll(archive, value.isFromBackend_);
 }
 
 template<typename Archive>
--- a/src/world/decision_log.cpp
+++ b/src/world/decision_log.cpp
@@ -26,7 +26,7 @@
 // True for refusals that only report a lack of capacity. One call may get many of them, so they are not logged.
 bool isCapacityRefusal(ResultCode code)
 {
-    return code == ResultCode::Overloaded || code == ResultCode::Withdrawn;
+    return code == ResultCode::Overloaded || code == ResultCode::BackendLimited || code == ResultCode::Withdrawn;
 }
 
 // Formats a duration as whole milliseconds.
--- a/src/world/event_type.h
+++ b/src/world/event_type.h
@@ -40,6 +40,8 @@
     Millis timeout_;
     // Time from the header to this event, in which the body was read. It counts against the timeout.
     Millis bodyTime_{};
+    // True when the local backend server made the call while it ran another request.
+    bool isFromBackend_ = false;
     TraceId trace_;
     SpanId parentSpan_;
 };
--- a/test/fake/fake_effects.cpp
+++ b/test/fake/fake_effects.cpp
@@ -118,7 +118,7 @@
 void FakeFleet::apply(std::size_t index, const HandOver &effect)
 {
     instances_[index].handOverTimes_.push_back(now_);
-    runRequest(index, byHandle_[{index, effect.exchange_}]);
+    runRequest(index, byHandle_[{index, effect.exchange_}], effect.backend_);
 }
 
 void FakeFleet::apply(std::size_t index, const FailExchange &effect)
@@ -182,9 +182,12 @@
     }
 }
 
-void FakeFleet::apply(std::size_t index, const CheckBackendHealth & /*effect*/)
+void FakeFleet::apply(std::size_t index, const CheckBackendHealth &effect)
 {
     const FakeInstance &instance = instances_[index];
+    if (ignoresChecks_ && ignoresChecks_(index)) {
+        return;
+    }
     const int generation = instance.generation_;
     BackendChecked event;
     event.ok_ = instance.backendRuns_;
@@ -193,7 +196,13 @@
     if (instance.backendRuns_) {
         ++healthChecks_;
     }
-    at(now_ + CheckDuration, [this, index, generation, event]() { deliver(index, generation, event); });
+    const BackendStart backend{event.id_, effect.incarnation_};
+    at(now_ + CheckDuration, [this, index, generation, event, backend, askedAt = now_]() {
+        if (event.ok_) {
+            deliverNotice(index, generation, backend, askedAt);
+        }
+        deliver(index, generation, event);
+    });
 }
 
 // Delays the response to a watch until the data has changed or its hold time is over.
--- a/test/fake/fake_fleet.cpp
+++ b/test/fake/fake_fleet.cpp
@@ -157,6 +157,7 @@
     event.policy_ = call.policy_;
     event.bodySize_ = call.bodySize_;
     event.timeout_ = call.timeout_;
+    event.isFromBackend_ = call.isFromBackend_;
     event.trace_ = TraceId(call.token_);
     if (!instances_[index].world_ || instances_[index].exited_) {
         results_[number].connectionAborted_ = true;
@@ -207,6 +208,12 @@
     return instances_.size();
 }
 
+std::pair<std::size_t, AttemptId> FakeFleet::attemptOf(std::size_t index, ExchangeHandle handle) const
+{
+    const ExchangePtr &exchange = byHandle_.at({index, handle});
+    return {exchange->client_, exchange->attempt_};
+}
+
 int FakeFleet::executions(const std::string &action) const
 {
     const auto found = executions_.find(action);
@@ -362,7 +369,13 @@
     }
 }
 
-void FakeFleet::runRequest(std::size_t index, const ExchangePtr &exchange)
+void FakeFleet::deliverNotice(std::size_t index, int generation, const BackendStart &backend, Millis askedAt)
+{
+    const BackendNotice notice = notice_ ? notice_(index) : BackendNotice{};
+    deliver(index, generation, BackendStated{backend, askedAt, now_, notice});
+}
+
+void FakeFleet::runRequest(std::size_t index, const ExchangePtr &exchange, const BackendStart &backend)
 {
     FakeInstance &instance = instances_[index];
     const ExchangeHandle handle = exchange->handle_;
@@ -371,8 +384,12 @@
         at(now_ + Millis(1), [this, index, generation, handle]() { deliver(index, generation, BackendFailed{handle, BackendFault::Unreachable, {}}); });
         return;
     }
+    const Millis askedAt = now_;
     if (refuses_ && refuses_(index)) {
-        at(now_ + Millis(1), [this, index, generation, handle]() { deliver(index, generation, BackendFailed{handle, BackendFault::Refused, {}}); });
+        at(now_ + Millis(1), [this, index, generation, handle, backend, askedAt]() {
+            deliverNotice(index, generation, backend, askedAt);
+            deliver(index, generation, BackendFailed{handle, BackendFault::Refused, {}});
+        });
         return;
     }
     const FakeCall &call = calls_[exchange->call_.value() - 1];
@@ -394,14 +411,15 @@
     // The service time at the start of a request applies to the whole request.
     const int slowness = slownessOf(index);
     const Millis serviceTime = slowness == 0 ? baseTime : Millis::fromMicros(baseTime.micros() * slowness / WholePercent);
-    at(now_ + serviceTime, [this, index, generation, handle, exchange, backendGeneration = instance.backendGeneration_]() {
+    at(now_ + serviceTime, [this, index, generation, handle, exchange, backend, askedAt, backendGeneration = instance.backendGeneration_]() {
         const bool runs = std::exchange(exchange->running_, false);
         if (runs && instances_[index].backendGeneration_ == backendGeneration) {
             --instances_[index].running_;
             const FakeInstance &done = instances_[index];
             const BackendLoad load{Slots(done.running_), Slots(), Slots(done.slots_), Percent(slownessOf(index))};
             const Bytes size = calls_[exchange->call_.value() - 1].responseSize_;
-            at(sendOverLink(index, size), [this, index, generation, handle, load, size]() {
+            at(sendOverLink(index, size), [this, index, generation, handle, load, size, backend, askedAt]() {
+                deliverNotice(index, generation, backend, askedAt);
                 deliver(index, generation, BackendResponded{handle, 200, load, size});
             });
         }
--- a/test/fake/fake_fleet.h
+++ b/test/fake/fake_fleet.h
@@ -53,6 +53,8 @@
     // Policy of a route. When unset, the class in the ticket applies.
     CallPolicy policy_{};
     Bytes bodySize_{};
+    // True when the local backend server makes the call while it runs another request.
+    bool isFromBackend_ = false;
     // Size of the response's body.
     Bytes responseSize_{};
 };
@@ -169,6 +171,9 @@
     World &world(std::size_t index);
     [[nodiscard]] std::size_t size() const;
 
+    // The outbound instance of an exchange at an inbound one, and its attempt.
+    [[nodiscard]] std::pair<std::size_t, AttemptId> attemptOf(std::size_t index, ExchangeHandle handle) const;
+
     // Number of times that backend servers have run an action.
     [[nodiscard]] int executions(const std::string &action) const;
 
@@ -191,6 +196,10 @@
     std::function<int(std::size_t)> slowness_;
     // Returns true when a backend server refuses the next request although its health check succeeds.
     std::function<bool(std::size_t)> refuses_;
+    // Returns what a backend server states in a response. When unset, they state nothing.
+    std::function<BackendNotice(std::size_t)> notice_;
+    // Returns true when a backend server does not respond to the next health check.
+    std::function<bool(std::size_t)> ignoresChecks_;
     // Returns true when a backend server never responds to the next request.
     std::function<bool(std::size_t)> hangs_;
     // Bytes per second of each instance's network link; zero when it takes no time. What an instance sends waits for earlier responses.
@@ -249,7 +258,9 @@
     // Breaks all exchanges from and to an instance.
     void breakExchangesOf(std::size_t index);
     // Runs a request at the backend server of an instance.
-    void runRequest(std::size_t index, const ExchangePtr &exchange);
+    void runRequest(std::size_t index, const ExchangePtr &exchange, const BackendStart &backend);
+    // Tells an instance what its backend server states in a response to something that was sent at the given time.
+    void deliverNotice(std::size_t index, int generation, const BackendStart &backend, Millis askedAt);
     // The result of a call if it was made at this instance; nullptr otherwise.
     CallResult *resultOf(std::size_t index, CallHandle handle);
 
--- a/test/platform_leaving_notice_test.cpp
+++ b/test/platform_leaving_notice_test.cpp
@@ -68,7 +68,7 @@
 {
     for (const std::string &status : {std::string("200 OK"), std::string("503 Draining")}) {
         DaemonFixture fixture(20);
-        fixture.backendFields_ = "Instance-Id: i-1\r\n";
+        fixture.backendFields_ = "Instance-Id: i-1\r\nServer-Load: 0,0,4,100\r\n";
         fixture.request("GET", "/r/1");
         fixture.runFor(Millis(200));
         const std::string health = "HTTP/1.1 " + status + "\r\nInstance-Id: i-1\r\nServer-Load: 0,0,4,100\r\n" + LeavingField + "Content-Length: 0\r\n\r\n";
