Incident: a server that states in its responses that it leaves gets no further requests

What callers saw: requests reached a server long after its responses had said that it leaves (DRAIN), while its heartbeats still said ready. Cause: the daemon went by heartbeats and deregistrations only. Class of fault: as for request limits, a statement of the server that was not kept. Change: any response of the announced start, refusals, failures, broken ones and health checks included, makes the inbound side refuse new requests until another start is announced; no store call and no peer stands between. The response tells the outbound side before it is passed on, and its later offers tell a daemon that starts beside that server. A deregistration and the statement are one state now.

--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -540,6 +540,7 @@
 
 void handle(World &world, const OfferArrived &event)
 {
+    recordLeaving(world, event.offer_.leavingBackend_);
     const RequestClass *requestClass = findClass(world, event.offer_);
     const ResultCode refusal = refusalReason(world, event.offer_, requestClass);
     if (refusal != ResultCode::Ok) {
--- a/src/call/admission_table.h
+++ b/src/call/admission_table.h
@@ -41,9 +41,7 @@
     BackendId id_;
     // Sequence number of the latest announcement from this start.
     std::uint64_t sequence_ = 0;
-    // True after it deregistered; only a new start resets this.
-    bool isDeregistered_ = false;
-    // True after it stated in a response that it leaves; only a new start resets this.
+    // True after it deregistered or stated in a response that it leaves; only a new start resets this.
     bool isLeaving_ = false;
     // True once a response of this start has told whether it limits its requests or leaves.
     bool isNoticeKnown_ = false;
--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -276,6 +276,15 @@
     }
 }
 
+// Remembers that the backend server of an instance leaves.
+void recordLeavingBackend(World &world, InstanceId id, const BackendStart &backend)
+{
+    Instance *instance = world.fleet_.rows_.get(id);
+    if (instance != nullptr && !backend.id_.value().empty()) {
+        instance->leavingBackend_ = backend;
+    }
+}
+
 // Marks the instance as full when it queued the offer or refused it for lack of capacity.
 void markFullIfAtCapacity(World &world, const Attempt &attempt, const OfferReply &reply)
 {
@@ -317,6 +326,9 @@
     offer.isBodyInline_ = attempt.sentBodyInline_;
     offer.requiresWholeBody_ = call.requiresWholeBody_;
     offer.isFromBackend_ = call.isFromBackend_;
+    if (const Instance *instance = world.fleet_.rows_.get(attempt.instance_)) {
+        offer.leavingBackend_ = instance->leavingBackend_;
+    }
     offer.trace_ = call.trace_;
     offer.parentSpan_ = attempt.span_;
     return offer;
@@ -488,6 +500,7 @@
     if (attempt == nullptr) {
         return;
     }
+    recordLeavingBackend(world, attempt->instance_, event.leavingBackend_);
     keepOnlyAttempt(world, event.attempt_);
     attempt->state_ = AttemptState::Relaying;
     Call &call = *world.calls_.calls_.get(attempt->call_);
--- a/src/call/backend_cmd.cpp
+++ b/src/call/backend_cmd.cpp
@@ -197,7 +197,7 @@
         if (hasRestarted) {
             resetNotices(world);
         }
-        backend.isDeregistered_ = wasDeregistered(world, event.id_, event.incarnation_);
+        backend.isLeaving_ = backend.isLeaving_ || wasDeregistered(world, event.id_, event.incarnation_);
         backend.slowness_ = Percent();
         backend.baselineSlowness_ = 0;
         backend.nearFullSamples_ = 0;
@@ -206,7 +206,7 @@
     }
     backend.sequence_ = event.sequence_;
     backend.announcedAt_ = world.now_;
-    setBackendState(world, backend.isDeregistered_ ? BackendState::Draining : event.state_);
+    setBackendState(world, backend.isLeaving_ ? BackendState::Draining : event.state_);
 }
 
 void handle(World &world, const BackendDeregistered &event)
@@ -220,7 +220,7 @@
     if (!isAnnounced || !concernsStart(event.incarnation_, backend.incarnation_)) {
         return;
     }
-    backend.isDeregistered_ = true;
+    backend.isLeaving_ = true;
     if (backend.state_ == BackendState::Absent) {
         return;
     }
--- a/src/call/backend_notice.cpp
+++ b/src/call/backend_notice.cpp
@@ -1,6 +1,7 @@
 // What the local backend server states about itself in its responses: its request limit, and that it leaves.
 #include "call/backend_notice_func.h"
 
+#include "call/backend_func.h"
 #include "call/backend_speed_func.h"
 #include "call/request_limit_func.h"
 #include "world/world.h"
@@ -25,10 +26,21 @@
     }
     world.admissions_.backend_.isNoticeKnown_ = true;
     applyStatedLimit(world, event);
+    if (event.notice_.isLeaving_) {
+        recordLeaving(world, event.backend_);
+    }
+}
+
+void recordLeaving(World &world, const BackendStart &start)
+{
     LocalBackend &backend = world.admissions_.backend_;
-    if (event.notice_.isLeaving_ && !backend.isLeaving_) {
-        backend.isLeaving_ = true;
-        world.emit(LogStateChange{"backend server " + backend.service_.value() + " states that it leaves"});
+    if (start.id_.value().empty() || start != currentStart(world) || backend.isLeaving_) {
+        return;
+    }
+    backend.isLeaving_ = true;
+    world.emit(LogStateChange{"backend server " + backend.service_.value() + " states that it leaves"});
+    if (backend.state_ != BackendState::Absent) {
+        setBackendState(world, BackendState::Draining);
     }
 }
 
--- a/src/call/backend_notice_func.h
+++ b/src/call/backend_notice_func.h
@@ -11,6 +11,9 @@
 // Applies what a response states. A response of an earlier start of the server is ignored.
 void handle(World &world, const BackendStated &event);
 
+// Records that a start of a server leaves. Only has an effect if that start is announced now. The server then gets no further request.
+void recordLeaving(World &world, const BackendStart &start);
+
 // Forgets what the previous start of the server stated.
 void resetNotices(World &world);
 
--- a/src/call/exchange_type.h
+++ b/src/call/exchange_type.h
@@ -8,6 +8,7 @@
 
 #include "core/clock_type.h"
 #include "core/units_type.h"
+#include "fleet/instance_type.h"
 #include "measure/load_report_type.h"
 
 #include <cstdint>
@@ -46,6 +47,8 @@
     Millis latencyTargetRemaining_;
     // True when a backend server made the call while it ran another request.
     bool isFromBackend_ = false;
+    // The backend server of the inbound side that the outbound side knows to leave; without an id when it knows of none.
+    BackendStart leavingBackend_{};
     // True when the body follows the offer at once, so that an immediate admission needs no confirmation.
     bool isBodyInline_ = false;
     // True when the inbound side must have the whole body before it hands the request over.
--- a/src/fleet/instance_base.h
+++ b/src/fleet/instance_base.h
@@ -48,6 +48,9 @@
     Millis lastHeardAt_;
     // Transit times of its offers to this daemon.
     TransitBaseline transit_;
+    // The backend server that stated in a response to this daemon that it leaves; without an id when none did. Offers tell it to the daemon beside the server,
+    // which forgets it when it restarts.
+    BackendStart leavingBackend_;
     // Time at which the last probe was sent.
     Millis lastProbedAt_;
 };
--- a/src/net/backend_client.cpp
+++ b/src/net/backend_client.cpp
@@ -438,7 +438,11 @@
 
 Task<bool> BackendClient::forwardBody(BackendRequest &request, beast::tcp_stream &stream, beast::flat_buffer &buffer, ResponseParser &parser)
 {
-    request.responseConnection_->send(makeResponseHead(parser, request.attempt_));
+    ResponseHead head = makeResponseHead(parser, request.attempt_);
+    if (adapter_.readNotice(parser.get()).isLeaving_) {
+        head.leavingBackend_ = BackendStart{request.requestContext_.id_, request.incarnation_};
+    }
+    request.responseConnection_->send(head);
     std::string part;
     while (!parser.is_done()) {
         part.resize(MaxChunkBytes);
--- a/src/net/backend_client.h
+++ b/src/net/backend_client.h
@@ -138,7 +138,7 @@
     static Task<bool> skipBody(beast::tcp_stream &stream, beast::flat_buffer &buffer, ResponseParser &parser);
 
     // Sends the head of a response and its body, as it is read, to the outbound daemon. False when the body ended early.
-    static Task<bool> forwardBody(BackendRequest &request, beast::tcp_stream &stream, beast::flat_buffer &buffer, ResponseParser &parser);
+    Task<bool> forwardBody(BackendRequest &request, beast::tcp_stream &stream, beast::flat_buffer &buffer, ResponseParser &parser);
 
     WorldRunner &worldRunner_;
     const BackendAdapter &adapter_;
--- a/src/net/exchange_client.cpp
+++ b/src/net/exchange_client.cpp
@@ -316,7 +316,7 @@
 
 Task<bool> ExchangeClient::beginRelay(ExchangePtr exchange, bool isWhole)
 {
-    worldRunner_.post(ResponseStarted{exchange->attempt_, isWhole});
+    worldRunner_.post(ResponseStarted{exchange->attempt_, isWhole, exchange->responseHead_.leavingBackend_});
     // The tick that handles the event runs before this coroutine resumes, since both run in order on one thread.
     co_await asio::post(worldRunner_.context(), asio::use_awaitable);
     const auto request = callers_.find(exchange->call_);
--- a/src/wire/serialize.h
+++ b/src/wire/serialize.h
@@ -213,6 +213,12 @@
     }
 }
 
+template<typename Archive>
+void serializeFields(Archive &archive, BackendStart &value)
+{
+    serializeAll(archive, value.id_, value.incarnation_);
+}
+
 template<typename Archive>
 void serializeFields(Archive &archive, InstanceRecord &value)
 {
@@ -276,7 +282,7 @@
     serializeAll(archive, value.attempt_, value.sender_, value.callToken_, value.service_, value.class_, value.remaining_, value.fingerprint_);
     serializeAll(archive, value.key_, value.routed_, value.isIdempotent_, value.priority_, value.latencyTargetRemaining_);
     serializeAll(archive, value.isBodyInline_, value.requiresWholeBody_, value.trace_, value.parentSpan_, value.sentAt_);
-    serializeAll(archive, value.isFromBackend_);
+    serializeAll(archive, value.isFromBackend_, value.leavingBackend_);
 }
 
 template<typename Archive>
@@ -331,7 +337,7 @@
 template<typename Archive>
 void serializeFields(Archive &archive, ResponseHead &value)
 {
-    serializeAll(archive, value.attempt_, value.status_, value.fields_, value.hasLength_, value.length_);
+    serializeAll(archive, value.attempt_, value.status_, value.fields_, value.hasLength_, value.length_, value.leavingBackend_);
 }
 
 template<typename Archive>
--- a/test/fake/fake_effects.cpp
+++ b/test/fake/fake_effects.cpp
@@ -133,7 +133,9 @@
 {
     const ExchangePtr exchange = byHandle_[{index, effect.exchange_}];
     if (exchange && !exchange->ended_) {
-        sendToClient(exchange, ResponseStarted{exchange->attempt_});
+        const bool isLeaving = notice_ && notice_(index).isLeaving_;
+        const BackendStart leaving{backendIdOf(index), Incarnation(static_cast<std::uint64_t>(instances_[index].backendGeneration_) + 1)};
+        sendToClient(exchange, ResponseStarted{exchange->attempt_, false, isLeaving ? leaving : BackendStart{}});
         sendToClient(exchange, ResponseCompleted{exchange->attempt_, effect.report_});
     }
 }
