Callers: a call that request limits leave no time for is rejected when the other servers are full

Cause: a call that limited servers refused went on searching among full ones until its time limit. Tests of unusual limits and of the new fields of messages. platform_endless_test and platform_refusals_test counted on a first request without a health check, since the check budget starts empty; a check now precedes it, so that they look at the next check.

--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -89,6 +89,7 @@
     Call &call = *world.calls_.calls_.get(attempt.call_);
     (call.routed_ && isCapacityRefusal(code) ? call.fullInstances_ : call.failedInstances_).push_back(attempt.instanceName_);
     call.lastFailureCode_ = code;
+    call.isLimited_ = call.isLimited_ || code == ResultCode::BackendLimited;
     call.backendsReached_ += mayHaveReachedBackend(code) ? 1 : 0;
     return attempt.call_;
 }
--- a/src/call/call_base.h
+++ b/src/call/call_base.h
@@ -58,6 +58,8 @@
     std::vector<InstanceName> fullInstances_;
     // Number of times that no instance had capacity for a routed call; the wait grows with it.
     std::int32_t capacityRetries_ = 0;
+    // True once the request limit of a backend server left no time for it.
+    bool isLimited_ = false;
     // True while a timer is set that will route the call again.
     bool isRetryScheduled_ = false;
     // Result code of the latest failed attempt.
--- a/src/call/call_cmd.cpp
+++ b/src/call/call_cmd.cpp
@@ -152,18 +152,21 @@
     return budget.tryTake(call.mayHaveRun_ ? RerunCost : ReofferCost, world.now_);
 }
 
-// True when the request limits of the backend servers leave no time for a call: each running one of the service has refused it, the last one for that reason.
+// True when the request limits of some backend servers leave no time for a call and the others have refused it too. While servers limit their requests, the
+// others stay full, so that a further round would only hold the caller.
 bool isLimitedEverywhere(const World &world, const Call &call)
 {
     const auto members = world.fleet_.byService_.find(call.service_);
-    if (call.lastFailureCode_ != ResultCode::BackendLimited || members == world.fleet_.byService_.end()) {
+    if (!call.isLimited_ || members == world.fleet_.byService_.end()) {
         return false;
     }
+    const auto contains
+        = [](const std::vector<InstanceName> &list, const InstanceName &name) { return std::find(list.begin(), list.end(), name) != list.end(); };
     return std::all_of(members->second.begin(), members->second.end(), [&](InstanceId id) {
         const Instance &instance = *world.fleet_.rows_.get(id);
-        const auto &failed = call.failedInstances_;
-        const bool hasFailed = std::find(failed.begin(), failed.end(), instance.record_.name_) != failed.end();
-        return hasFailed || !isRunning(instance) || instance.record_.backend_ != BackendState::Ready;
+        const InstanceName &name = instance.record_.name_;
+        const bool isUsable = isRunning(instance) && instance.record_.backend_ == BackendState::Ready;
+        return !isUsable || contains(call.failedInstances_, name) || contains(call.fullInstances_, name);
     });
 }
 
@@ -179,7 +182,7 @@
 {
     if (call.isRetryScheduled_ || (call.attempts_.empty() && !canStillBeAnswered(world, call))) {
         if (!call.isRetryScheduled_) {
-            failCall(world, id, call.lastFailureCode_);
+            failCall(world, id, call.isLimited_ ? ResultCode::BackendLimited : call.lastFailureCode_);
         }
         return;
     }
--- a/src/call/request_limit.cpp
+++ b/src/call/request_limit.cpp
@@ -72,7 +72,7 @@
     limit.unusualLimit_ = notice.unusualLimit_;
     if (!notice.unusualLimit_.empty()) {
         const std::string meaning = notice.limit_ ? "counts as " + formatRate(*notice.limit_) + " requests per second" : "is ignored";
-        world.emit(LogStateChange{"backend server states the request limit \"" + notice.unusualLimit_ + "\", which " + meaning});
+        world.emit(LogStateChange{"backend server states the request limit " + notice.unusualLimit_ + ", which " + meaning});
     }
 }
 
--- a/src/world/event_type.h
+++ b/src/world/event_type.h
@@ -151,7 +151,7 @@
     std::optional<RequestRate> limit_;
     // False when the response states a limit that cannot be read, or may be a copy of an older one. The limit stays as it was then.
     bool isLimitKnown_ = true;
-    // The limit as the server wrote it, when it is not a single plain number; for the log.
+    // The quoted values of the limit, when it is not a single plain number; for the log.
     std::string unusualLimit_{};
     // True when the server leaves: it takes no new requests soon.
     bool isLeaving_ = false;
--- a/test/codec_test.cpp
+++ b/test/codec_test.cpp
@@ -56,6 +56,7 @@
             PingRequest{randomHeader(), Address{1, 2}},
             Probe{3, ServiceName(randomString())},
             ProbeReply{4, InstanceName(randomString()), LoadReport{Slots(1), Slots(2), Slots(3), Millis(4)}},
+            ProbeReply{4, InstanceName(randomString()), LoadReport{Slots(1), Slots(2), Slots(3), Millis(4), {}, 0, {}, {}, Millis(41), Millis(90)}},
             SuspectRequestNotice{5, Fingerprint(6), {7, 8}, true},
             SuspectRequestAck{7}};
 }
@@ -88,6 +89,8 @@
 RC_BOOST_PROP(corrupted_frames_are_decoded_or_rejected, ())
 {
     Offer offer;
+    offer.isFromBackend_ = true;
+    offer.leavingBackend_ = BackendStart{BackendId("i-1"), Incarnation(7)};
     offer.callToken_ = randomString();
     std::string bytes = encodeFrame(offer).substr(FrameLengthBytes);
     const std::size_t position = *rc::gen::inRange<std::size_t>(0, bytes.size());
@@ -100,6 +103,26 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(notices_of_backend_servers_round_trip)
+{
+    const BackendStart start{BackendId("i-1"), Incarnation(7)};
+    ResponseHead head;
+    head.leavingBackend_ = start;
+    Offer offer;
+    offer.isFromBackend_ = true;
+    offer.leavingBackend_ = start;
+    OfferReply reply;
+    reply.report_ = LoadReport{Slots(1), Slots(2), Slots(3), Millis(4), {}, 0, {}, {}, Millis(41), Millis(90)};
+    const auto decode = [](const Frame &frame) { return decodeFrame(encodeFrame(frame).substr(FrameLengthBytes)); };
+    BOOST_TEST((std::get<ResponseHead>(decode(head)).leavingBackend_ == start));
+    const Offer decoded = std::get<Offer>(decode(offer));
+    BOOST_TEST(decoded.isFromBackend_);
+    BOOST_TEST((decoded.leavingBackend_ == start));
+    const LoadReport report = std::get<OfferReply>(decode(reply)).report_;
+    BOOST_TEST((report.requestInterval_ == Millis(41)));
+    BOOST_TEST((report.limitWait_ == Millis(90)));
+}
+
 BOOST_AUTO_TEST_CASE(oversized_messages_are_rejected)
 {
     BOOST_CHECK_THROW(encodeFrame(BodyChunk{1, std::string(MaxFrameBytes, 'x')}), Error);
--- a/test/platform_endless_test.cpp
+++ b/test/platform_endless_test.cpp
@@ -267,13 +267,14 @@
     };
     for (const auto &[name, scripted] : cases) {
         DaemonFixture fixture(20);
-        // The budget of checks starts empty at the first request.
-        BOOST_TEST(isCompleteSuccess(sendWrite(fixture, {DaemonFixture::matchingResponse("first")})), name);
+        // A check precedes the first request.
+        BOOST_TEST(isCompleteSuccess(fixture.request("POST", "/w/first", "lesson")), name);
+        BOOST_REQUIRE(fixture.receivedRequests_.size() == 2U);
         fixture.runFor(Millis(200));
         fixture.scriptedResponses_.push_back(scripted);
         const CallerResponse response = fixture.request("POST", "/w/1", "lesson");
-        BOOST_REQUIRE(fixture.receivedRequests_.size() > 1);
-        const ReceivedRequest &check = fixture.receivedRequests_[1];
+        BOOST_REQUIRE(fixture.receivedRequests_.size() > 2);
+        const ReceivedRequest &check = fixture.receivedRequests_[2];
         BOOST_TEST(check.message_.target() == "/health", name);
         BOOST_TEST(isCompleteSuccess(response), name << ": " << response.status_);
         BOOST_TEST((response.duration_ < Millis(200)), name << ": " << response.duration_.count() << " ms");
--- a/test/platform_refusals_test.cpp
+++ b/test/platform_refusals_test.cpp
@@ -75,6 +75,9 @@
 BOOST_AUTO_TEST_CASE(a_late_response_is_not_taken_for_a_health_check)
 {
     DaemonFixture fixture(20);
+    // A check precedes the first request; the next request follows so soon that it needs none.
+    BOOST_TEST(fixture.request("GET", "/r/0", {}, Millis(1200), Millis(1)).status_ == 200U);
+    BOOST_REQUIRE(fixture.receivedRequests_.size() == 2U);
     ScriptedResponse first{DaemonFixture::matchingResponse("first"), DaemonFixture::matchingResponse("first")};
     first.lateDelay_ = Millis(250);
     fixture.scriptedResponses_.push_back(first);
@@ -83,8 +86,8 @@
     BOOST_TEST(sendWrite(fixture).body_ == "first");
     fixture.runFor(Millis(100));
     const CallerResponse second = sendWrite(fixture);
-    BOOST_REQUIRE(fixture.receivedRequests_.size() == 3U);
-    BOOST_TEST(fixture.receivedRequests_[1].message_.target() == "/health");
+    BOOST_REQUIRE(fixture.receivedRequests_.size() == 5U);
+    BOOST_TEST(fixture.receivedRequests_[3].message_.target() == "/health");
     BOOST_TEST(second.status_ == 200U, second.status_);
     BOOST_TEST(second.body_ == "whole");
 }
--- a/test/platform_request_limit_test.cpp
+++ b/test/platform_request_limit_test.cpp
@@ -32,7 +32,11 @@
         }
         // The limit is used: half of it at least.
         BOOST_TEST(callers.countStatus(200) > 37, method << ": " << callers.countStatus(200) << " answered");
-        BOOST_TEST(callers.countStatus(200) + callers.countStatus(503) == static_cast<std::ptrdiff_t>(callers.requests_.size()), method);
+        for (const OpenRequest &request : callers.requests_) {
+            const bool isAnsweredOrRejected = request.status_ == 200 || request.status_ == 503;
+            BOOST_TEST(isAnsweredOrRejected,
+                       method << " " << request.id_ << ": " << request.status_ << " after " << (request.endedAt_ - request.sentAt_).count() << " ms");
+        }
     }
 }
 
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -247,6 +247,59 @@
     BOOST_TEST(backend.readLoad(responseHeader(200, {{"Server-Load", "x"}})).slots_.value() == 0);
 }
 
+// Guards against a limit that cannot be read and ends, lifts or multiplies the one in force.
+BOOST_AUTO_TEST_CASE(unusual_request_limits_have_a_meaning)
+{
+    struct Case {
+        std::vector<std::string> values_;
+        // The limit that counts; negative when there is none.
+        double limit_;
+        bool isKnown_;
+        bool isUnusual_;
+    };
+    const std::vector<Case> cases{
+        {{}, -1, true, false},
+        {{"24.2"}, 24.2, true, false},
+        {{"0.25"}, 0.25, true, false},
+        {{"1e2"}, 100, true, false},
+        {{"0"}, 0, true, true},
+        {{"1e400"}, 1e6, true, true},
+        {{"1e-400"}, 0, true, true},
+        {{"30", "12.5"}, 12.5, true, true},
+        {{"12.5", "x"}, 12.5, true, true},
+        {{"-5"}, -1, false, true},
+        {{"NaN"}, -1, false, true},
+        {{"inf"}, -1, false, true},
+        {{"0x10"}, -1, false, true},
+        {{"12,5"}, -1, false, true},
+        {{"12 "}, 12, true, false},
+        {{""}, -1, false, true},
+        {{"1e"}, -1, false, true},
+        {{"-1", "x"}, -1, false, true},
+    };
+    for (const Case &odd : cases) {
+        BackendResponseHeader header = responseHeader(200, {});
+        for (const std::string &value : odd.values_) {
+            header.insert("Server-Limit", value);
+        }
+        const BackendNotice notice = platform::httpAdapters().backend_.readNotice(header);
+        const std::string name = odd.values_.empty() ? "none" : odd.values_.front();
+        BOOST_TEST((notice.limit_ ? notice.limit_->value() : -1) == odd.limit_, name);
+        BOOST_TEST(notice.isLimitKnown_ == odd.isKnown_, name);
+        BOOST_TEST(!notice.unusualLimit_.empty() == odd.isUnusual_, name << ": \"" << notice.unusualLimit_ << "\"");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(only_one_says_that_a_server_leaves)
+{
+    const auto &backend = platform::httpAdapters().backend_;
+    BOOST_TEST(backend.readNotice(responseHeader(200, {{"Server-Leaving", "1"}})).isLeaving_);
+    for (const char *value : {"0", "", "11", "true"}) {
+        BOOST_TEST(!backend.readNotice(responseHeader(200, {{"Server-Leaving", value}})).isLeaving_, value);
+    }
+    BOOST_TEST(!backend.readNotice(responseHeader(200, {})).isLeaving_);
+}
+
 BOOST_AUTO_TEST_CASE(a_settings_file_is_parsed)
 {
     const DaemonSettings settings = platform::parseSettings(Settings);
