Store: a response may have 4 MiB at most

Cause: the body of a store's response was kept up to 64 MiB before it was given up, for each open request. Change: 4 MiB, since the store returns 1 MB of rows at most.

--- a/src/net/http_client_server.cpp
+++ b/src/net/http_client_server.cpp
@@ -19,8 +19,6 @@
 constexpr std::size_t MaxBufferedBytes = std::size_t{128} << 10U;
 // Limit of the server for the body of a request.
 constexpr std::uint64_t MaxRequestBodyBytes = std::uint64_t{1} << 20U;
-// Limit of the client for the body of a response.
-constexpr std::uint64_t MaxResponseBodyBytes = std::uint64_t{64} << 20U;
 // Maximum number of open connections of a server.
 constexpr std::size_t MaxConnections = 256;
 // A request must arrive completely within this time after the connection was opened or the previous response was written, so this also limits
@@ -40,7 +38,8 @@
 
 } // namespace
 
-Task<std::optional<HttpResponse>> sendHttpRequest(asio::io_context &context, Address address, HttpRequest request, std::chrono::milliseconds timeout)
+Task<std::optional<HttpResponse>> sendHttpRequest(asio::io_context &context, Address address, HttpRequest request, std::chrono::milliseconds timeout,
+                                                  std::uint64_t maxBodyBytes)
 {
     beast::tcp_stream stream(context);
     stream.expires_after(timeout);
@@ -58,7 +57,7 @@
     beast::flat_buffer buffer(MaxBufferedBytes);
     http::response_parser<http::string_body> parser;
     parser.header_limit(MaxHeadBytes);
-    parser.body_limit(MaxResponseBodyBytes);
+    parser.body_limit(maxBodyBytes);
     errorCode = co_await readMessage(stream, buffer, parser);
     if (errorCode) {
         co_return std::nullopt;
--- a/src/net/http_client_server.h
+++ b/src/net/http_client_server.h
@@ -12,8 +12,12 @@
 using HttpRequest = http::request<http::string_body>;
 using HttpResponse = http::response<http::string_body>;
 
+// Bytes that the body of a response may have when the caller of sendHttpRequest() sets no limit.
+constexpr std::uint64_t DefaultResponseBodyLimit = std::uint64_t{64} << 20U;
+
 // Sends a request on a new connection and reads the response. Nothing when the response is not complete within the timeout.
-Task<std::optional<HttpResponse>> sendHttpRequest(asio::io_context &context, Address address, HttpRequest request, std::chrono::milliseconds timeout);
+Task<std::optional<HttpResponse>> sendHttpRequest(asio::io_context &context, Address address, HttpRequest request, std::chrono::milliseconds timeout,
+                                                  std::uint64_t maxBodyBytes = DefaultResponseBodyLimit);
 
 // Builds a request with a JSON body; an empty body is left out.
 HttpRequest makeRequest(http::verb method, const std::string &target, const std::string &body = {});
--- a/src/net/store_client.cpp
+++ b/src/net/store_client.cpp
@@ -10,6 +10,8 @@
 
 // A request fails when its response takes longer. A watch gets its hold time in addition.
 constexpr std::chrono::milliseconds StoreTimeout(1000);
+// Maximum size of a response. The store returns rows of at most 1 MB, which their encoding lengthens by less than half.
+constexpr std::uint64_t MaxStoreResponseBytes = std::uint64_t{4} << 20U;
 
 // Logs that rows of a response were left out.
 void logRowErrors(WorldRunner &worldRunner, const std::vector<std::string> &errors)
@@ -39,7 +41,8 @@
     const auto *watch = std::get_if<RoutingWatch>(&effect.operation_);
     const std::chrono::milliseconds watchTime(watch == nullptr ? 0 : watch->maxWait_.count());
     const HttpRequest request = adapter_.encode(effect.operation_);
-    const std::optional<HttpResponse> response = co_await sendHttpRequest(worldRunner_.context(), address_, request, StoreTimeout + watchTime);
+    const std::optional<HttpResponse> response
+        = co_await sendHttpRequest(worldRunner_.context(), address_, request, StoreTimeout + watchTime, MaxStoreResponseBytes);
     StoreResponded event{effect.request_, {}};
     if (response) {
         try {
--- a/test/standin/daemon_fixture.h
+++ b/test/standin/daemon_fixture.h
@@ -116,8 +116,9 @@
     }
 
     // Starts the program radishfordd as a process of its own. With isStoreUp, waits until its backend server is ready.
-    explicit DaemonFixture(const std::string &program, double graceSeconds = 6, bool isStoreUp = true)
+    explicit DaemonFixture(const std::string &program, double graceSeconds = 6, bool isStoreUp = true, int checksPerSecond = 0)
         : storeResponds_(isStoreUp)
+        , checksPerSecond_(checksPerSecond)
         , address_(loopbackAddress())
         , process_(std::make_unique<DaemonProcess>(program, settingsText(graceSeconds)))
         , store_(context_, Address{address_, StorePort}, [this](const HttpRequest &request) { return respondToStoreRequest(request); })
@@ -183,8 +184,8 @@
     void announce(const std::string &state, int sequence)
     {
         const std::string body = R"({"address":")" + toText(Address{address_, BackendPort})
-            + R"(","born":1700000000000,"info":{"service":"booking","version":"v1","zone":"a","slots":4},"status":{"state":")" + state + R"(","sequence":)"
-            + std::to_string(sequence) + R"(,"coldRemainingS":0}})";
+            + R"(","born":1700000000000,"info":{"service":"booking","version":"v1","zone":"a","slots":)" + std::to_string(slots_) + R"(},"status":{"state":")"
+            + state + R"(","sequence":)" + std::to_string(sequence) + R"(,"coldRemainingS":0}})";
         const HttpRequest request = makeRequest(http::verb::post, "/Instances.Heartbeat/i-1", body);
         asio::co_spawn(context_, sendHttpRequest(context_, Address{address_, AnnouncePort}, request, std::chrono::milliseconds(1000)), asio::detached);
     }
@@ -258,7 +259,7 @@
             + R"(","portRange":[)" + std::to_string(DaemonPort) + "," + std::to_string(DaemonPort) + R"(],"appAddr":)" + text(BackendPort)
             + R"(,"listenAddrs":{"outbound":)" + text(CallerPort) + R"(,"control":)" + text(AnnouncePort) + R"(,"ready":)" + text(AdminPort)
             + R"(},"platform":{"address":)" + text(StorePort) + R"(},"bounds":["graceS=)" + std::to_string(graceSeconds)
-            + R"(","retryBudgetRatio=0.2","retryBudgetSlack=64","probesPerS=0"]})";
+            + R"(","retryBudgetRatio=0.2","retryBudgetSlack=64","probesPerS=)" + std::to_string(checksPerSecond_) + R"("]})";
     }
 
     // Responses of the backend server, in order. Once they are used up, it sends complete matching responses.
@@ -279,6 +280,10 @@
     int memberListReads_ = 0;
     // While false, the store delays every response by 20 s.
     bool storeResponds_ = true;
+    // Number of spaces that follow the JSON of each response of the store.
+    std::size_t storePadding_ = 0;
+    // Slots that the backend server announces.
+    int slots_ = 4;
 
 private:
     static constexpr std::uint16_t DaemonPort = 7401;
@@ -391,7 +396,7 @@
         const bool isMemberRequest = target.starts_with("/rows-get?table=daemons");
         const std::string rows = isConfigRequest ? config : isMemberRequest ? memberRows_ : std::string();
         memberListReads_ += isMemberRequest ? 1 : 0;
-        co_return makeResponse(200, "application/json", R"({"rows":[)" + rows + R"(],"hasMore":false,"ver":4,"nowS":1})");
+        co_return makeResponse(200, "application/json", R"({"rows":[)" + rows + R"(],"hasMore":false,"ver":4,"nowS":1})" + std::string(storePadding_, ' '));
     }
 
     Task<> acceptBackendConnections()
@@ -548,6 +553,7 @@
     }
 
 private:
+    int checksPerSecond_ = 0;
     asio::io_context context_;
     std::uint32_t address_;
     // Only for a daemon in a process of its own. Its process starts before the sockets below are opened, since it inherits open descriptors.
