--- a/test/standin/soak.cpp
+++ b/test/standin/soak.cpp
@@ -40,6 +40,8 @@
 constexpr Millis PollInterval{10};
 // Number of random sequences of the schedule; the callers' sequences follow.
 constexpr std::uint64_t LoopCount = 3;
+// Added to the seed for the sequence of what backend servers state.
+constexpr std::uint64_t NoticeSeed = 1000003;
 // Start of a log line about a request without a response, and its reason.
 constexpr std::string_view UnansweredEvent = R"("event":"request_unanswered")";
 constexpr std::string_view ReasonKey = R"("reason":")";
@@ -55,6 +57,8 @@
     int daemons_ = 9;
     int connections_ = 6;
     int seconds_ = 25;
+    // True when backend servers state limits, leave and start again.
+    bool hasNotices_ = false;
     // True when logs are kept also without a violation.
     bool keepsLogs_ = false;
 };
@@ -77,6 +81,7 @@
         , stopRandom_(settings.seed_ * LoopCount)
         , reloadRandom_(settings.seed_ * LoopCount + 1)
         , changeRandom_(settings.seed_ * LoopCount + 2)
+        , noticeRandom_(settings.seed_ + NoticeSeed)
         , folder_(std::filesystem::temp_directory_path() / ("radishford-soak-" + std::to_string(settings.seed_) + "-" + std::to_string(getpid())))
         , store_(context_)
     {
@@ -209,6 +214,9 @@
         for (Task<> (Soak::*loop)() : {&Soak::stopRepeatedly, &Soak::reloadRepeatedly, &Soak::changeRepeatedly, &Soak::watchProcesses}) {
             asio::co_spawn(context_, (this->*loop)(), asio::detached);
         }
+        for (std::size_t index = 0; settings_.hasNotices_ && index < servers_.size(); ++index) {
+            asio::co_spawn(context_, changeNotices(*servers_[index], SoakRandom(noticeRandom_.between(0, NoticeSeed))), asio::detached);
+        }
         co_await sleep(Millis(1000) * settings_.seconds_);
         isEnding_ = true;
         for (const auto &callers : callers_) {
@@ -386,6 +394,28 @@
         }
     }
 
+    // Lets a backend server state limits, leave, and go on as another server at its address.
+    Task<> changeNotices(SoakServer &server, SoakRandom random)
+    {
+        co_await sleep(random.millisBetween(0, 4000));
+        while (!isEnding_) {
+            for (std::uint64_t left = random.between(0, 3); left > 0 && !isEnding_; --left) {
+                server.setLimit(static_cast<double>(random.between(2, 50)) / 10);
+                co_await sleep(random.millisBetween(1000, 6000));
+            }
+            if (random.chance(50)) {
+                server.setLimit(-1);
+                co_await sleep(random.millisBetween(500, 4000));
+            }
+            if (random.chance(50)) {
+                server.setLeaving();
+                co_await sleep(random.millisBetween(2500, 5000));
+                server.startAnew();
+                co_await sleep(random.millisBetween(500, 3000));
+            }
+        }
+    }
+
     // Reports processes that end by themselves.
     Task<> watchProcesses()
     {
@@ -437,6 +467,14 @@
         for (const std::string &text : rule.violations(requests)) {
             violations_.push_back(text);
         }
+        for (const DisturbanceRecord &record : disturbances_) {
+            if (record.kind_ == Disturbance::Started || record.kind_ == Disturbance::Killed) {
+                ledger_.notices_.excuses_.push_back(ExcuseRecord{record.daemon_, record.at_});
+            }
+        }
+        for (const std::string &text : ServerNoticeRule(ledger_.notices_).violations()) {
+            violations_.push_back(text);
+        }
         judge("unsafe requests ran twice", [](const Observation &row) { return !row.isSafe_ && row.runs_ > 1; });
         judge("unsafe requests ran and were refused", [](const Observation &row) {
             const std::set<unsigned> refusals{408, 421, 429, 503};
@@ -483,6 +521,7 @@
     SoakRandom stopRandom_;
     SoakRandom reloadRandom_;
     SoakRandom changeRandom_;
+    SoakRandom noticeRandom_;
     std::filesystem::path folder_;
     asio::io_context context_{1};
     RowStore store_;
@@ -515,6 +554,7 @@
     add("daemons", options::value(&settings.daemons_), "number of daemons");
     add("connections", options::value(&settings.connections_), "connections to each daemon");
     add("seconds", options::value(&settings.seconds_), "duration of the schedule");
+    add("notices", options::bool_switch(&settings.hasNotices_), "backend servers state request limits, leave and start again");
     add("keep-logs", options::bool_switch(&settings.keepsLogs_), "keep the daemons' logs also when no rule is broken");
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, description), values);
--- a/test/standin/soak_caller.h
+++ b/test/standin/soak_caller.h
@@ -230,6 +230,7 @@
         Observation &observation = ledger_.add(plan.id_);
         ObservedRequest &request = observation.request_;
         request.daemon_ = daemon_;
+        observation.startedAt_ = WorldRunner::now();
         request.isOnKeptConnection_ = connection->answered_ > 0;
         request.limitAt_ = WorldRunner::now() + std::min(plan.deadline_, limits_.routeTimeout_);
         request.endedAt_ = Millis::never();
@@ -244,6 +245,7 @@
         error_code errorCode;
         co_await http::async_read_header(connection->stream_, connection->buffer_, parser, asio::redirect_error(asio::use_awaitable, errorCode));
         if (!errorCode) {
+            recordNotice(parser.get());
             ledger_.notify(daemon_, Moment::ResponseArrives);
             co_await sleep(plan.readPause_);
         }
@@ -273,6 +275,16 @@
         co_return mayKeepAlive;
     }
 
+    // Records what the head of a response says about the backend server.
+    void recordNotice(const http::response_header<> &header)
+    {
+        const bool hasLimit = header.count("Server-Limit") > 0;
+        const bool isLeaving = header["Server-Leaving"] == "1";
+        if (hasLimit || isLeaving) {
+            ledger_.notices_.responses_.push_back(PassedOnResponse{daemon_, std::string(header["X-Server"]), WorldRunner::now(), hasLimit, isLeaving});
+        }
+    }
+
     // Records what the response says.
     static void recordResponse(Observation &observation, const http::response<http::string_body> &response)
     {
--- a/test/standin/soak_ledger.h
+++ b/test/standin/soak_ledger.h
@@ -3,6 +3,7 @@
 
 #include "core/random.h"
 #include "standin/lost_rule.h"
+#include "standin/server_notice_rule.h"
 
 #include <functional>
 #include <map>
@@ -53,6 +54,8 @@
 // One request: what the rule on lost requests judges, and what other rules need.
 struct Observation {
     ObservedRequest request_{};
+    // When its first byte was sent.
+    Millis startedAt_{};
     bool isSafe_ = false;
     // Number of runs on backend servers.
     int runs_ = 0;
@@ -100,6 +103,9 @@
         }
     }
 
+    // Records for the rules on request limits and leaving servers.
+    NoticeObservation notices_;
+
     // The requests in the form that the rule on lost requests takes.
     [[nodiscard]] std::vector<ObservedRequest> requests() const
     {
--- a/test/standin/soak_server.h
+++ b/test/standin/soak_server.h
@@ -49,6 +49,29 @@
     {
     }
 
+    // States a limit in all responses from now on; none when it is negative.
+    void setLimit(double limit)
+    {
+        limit_ = limit;
+        recordNotice();
+    }
+
+    // States in all responses from now on that the server leaves. Its announcements go on to say that it is ready.
+    void setLeaving()
+    {
+        isLeaving_ = true;
+        recordNotice();
+    }
+
+    // Continues as another server at the same address.
+    void startAnew()
+    {
+        ++starts_;
+        limit_ = -1;
+        isLeaving_ = false;
+        born_ = currentMillis();
+    }
+
     // Starts to accept requests and to announce the server.
     void start()
     {
@@ -97,12 +120,11 @@
 
     Task<> announceRepeatedly()
     {
-        const auto born = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
         for (int sequence = 1;; ++sequence) {
             const boost::json::object info{{"service", settings_.service_}, {"version", "v1"}, {"zone", "a"}, {"slots", Slots}};
             const boost::json::object status{{"state", "ready"}, {"sequence", sequence}, {"coldRemainingS", 0}};
-            const boost::json::object body{{"address", toText(settings_.listen_)}, {"born", born}, {"info", info}, {"status", status}};
-            const HttpRequest request = makeRequest(http::verb::post, "/Instances.Heartbeat/" + settings_.id_, boost::json::serialize(body));
+            const boost::json::object body{{"address", toText(settings_.listen_)}, {"born", born_}, {"info", info}, {"status", status}};
+            const HttpRequest request = makeRequest(http::verb::post, "/Instances.Heartbeat/" + id(), boost::json::serialize(body));
             co_await sendHttpRequest(context_, settings_.control_, request, AnnouncementTimeout);
             co_await sleep(AnnouncementInterval);
         }
@@ -144,12 +166,17 @@
         }
         const auto &request = exchange.parser_.get();
         if (request.target() == "/health") {
-            co_return co_await respond(exchange, 200, "Instance-Id: " + settings_.id_ + "\r\n", "");
+            co_return co_await respond(exchange, 200, "Instance-Id: " + id() + "\r\n", "");
         }
         exchange.id_ = std::string(request["Attempt-Id"]);
         exchange.deadline_ = WorldRunner::now() + Millis(numericField(exchange, "Deadline-Ms"));
         exchange.observation_ = ledger_.find(exchange.id_);
-        const bool isForOther = request.count("Expect-Instance") > 0 && request["Expect-Instance"] != settings_.id_;
+        const bool isForOther = request.count("Expect-Instance") > 0 && request["Expect-Instance"] != id();
+        if (exchange.observation_ != nullptr) {
+            const Observation &observation = *exchange.observation_;
+            ledger_.notices_.requests_.push_back(
+                ArrivedRequest{exchange.id_, observation.request_.daemon_, id(), observation.startedAt_, WorldRunner::now(), isForOther});
+        }
         if (exchange.observation_ == nullptr || isForOther) {
             const bool isDone = co_await readBody(exchange);
             if (!isDone) {
@@ -303,7 +330,30 @@
     {
         const std::string load = std::to_string(running_) + "," + std::to_string(queued_) + "," + std::to_string(Slots) + ",100";
         const std::string id = exchange.id_.empty() ? "" : "Attempt-Id: " + exchange.id_ + "\r\n";
-        return "HTTP/1.1 " + std::to_string(status) + " S\r\nServer-Load: " + load + "\r\n" + id + fields;
+        return "HTTP/1.1 " + std::to_string(status) + " S\r\nServer-Load: " + load + "\r\n" + notice() + id + fields;
+    }
+
+    // Id of the current start.
+    [[nodiscard]] std::string id() const
+    {
+        return settings_.id_ + (starts_ == 0 ? "" : "-" + std::to_string(starts_));
+    }
+
+    static std::int64_t currentMillis()
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    }
+
+    void recordNotice()
+    {
+        ledger_.notices_.notices_.push_back(NoticeRecord{id(), WorldRunner::now(), limit_ >= 0, limit_, isLeaving_});
+    }
+
+    // Fields about the server itself.
+    [[nodiscard]] std::string notice() const
+    {
+        const std::string limit = limit_ < 0 ? "" : "Server-Limit: " + std::to_string(limit_) + "\r\n";
+        return "X-Server: " + id() + "\r\n" + limit + (isLeaving_ ? "Server-Leaving: 1\r\n" : "");
     }
 
     static std::string length(const std::string &body)
@@ -356,6 +406,12 @@
     AsyncCondition slotFree_;
     int running_ = 0;
     int queued_ = 0;
+    // Number of starts before the current one, and the time of the current one in milliseconds since the Unix epoch.
+    int starts_ = 0;
+    std::int64_t born_ = currentMillis();
+    // Stated limit in requests per second; negative when there is none.
+    double limit_ = -1;
+    bool isLeaving_ = false;
 };
 
 } // namespace radishford
