A slow health check no longer makes a daemon look unreachable

Requests that wait for a health check of their backend server got no verdict until the check ended, up to 500 ms, while their outbound sides take a daemon without a verdict after 100 ms for unreachable and exclude it. Callers got 503 (1008 after PeerUnreachable) at their time limit although a free server was beside them. Since a daemon asks its server before the first hand-over, each restart beside a slow server met this.

Requests now get the verdict "queued" once the check has run for 40 ms, so that their outbound sides look elsewhere as well and confirm later.

--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -472,7 +472,7 @@
         return;
     }
     if (awaitsNotice(world)) {
-        if (world.admissions_.backend_.hasBeenChecked_) {
+        if (world.admissions_.backend_.hasBeenChecked_ || isCheckOverdue(world)) {
             replyToQueued(world);
         }
         return;
@@ -480,6 +480,9 @@
     const BackendSpeed speed = backendSpeed(world);
     if (speed == BackendSpeed::Unknown) {
         requestCheck(world);
+        if (isCheckOverdue(world)) {
+            replyToQueued(world);
+        }
         return;
     }
     while (speed == BackendSpeed::Normal) {
--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -24,8 +24,8 @@
 constexpr std::int64_t HedgePercent = 300;
 constexpr Millis MinHedgeLatency{4};
 constexpr std::int64_t WholePercent = 100;
-// A routed offer without a reply for this long counts as lost, since the inbound side replies after one check of its backend server at the
-// latest. It is withdrawn, or the call is hedged when the request may already be running.
+// A routed offer without a reply for this long counts as lost, since the inbound side replies sooner even if the check of its backend server takes
+// long. It is withdrawn, or the call is hedged when the request may already be running.
 constexpr Millis RoutedOfferTimeout{100};
 // Reported service time from which a server counts as slow, as a percentage of its usual one.
 constexpr Percent SlowReport{180};
--- a/src/call/backend_speed_func.h
+++ b/src/call/backend_speed_func.h
@@ -48,6 +48,9 @@
 // Sends a check unless one is in progress, whatever is left of the check budget. The backend server must have a health path.
 void startCheck(World &world);
 
+// True when the check in progress takes so long that requests which wait for it need a verdict, lest their outbound sides take this daemon for unreachable.
+bool isCheckOverdue(const World &world);
+
 // Schedules the next check if requests are queued and the backend server is slow.
 void scheduleCheck(World &world, BackendSpeed speed);
 
--- a/src/call/backend_speed_system.cpp
+++ b/src/call/backend_speed_system.cpp
@@ -21,6 +21,8 @@
 constexpr Millis CheckInterval{12};
 // A check without a response for this long has failed.
 constexpr Millis CheckTimeout{500};
+// Time that requests wait for a check without a verdict. Their outbound sides give up 100 ms after the offer, which may take 20 ms to arrive.
+constexpr Millis MaxCheckTimeWithoutVerdict{40};
 // No work is started while the reported slowness is above this multiple of the server's baseline.
 constexpr double SlowFactor = 1.8;
 // The baseline rises towards each higher report by this share of the difference.
@@ -211,6 +213,12 @@
     }
 }
 
+bool isCheckOverdue(const World &world)
+{
+    const CheckTable &checks = world.admissions_.checks_;
+    return checks.running_ && world.now_ >= checks.startedAt_ + MaxCheckTimeWithoutVerdict;
+}
+
 void scheduleCheck(World &world, BackendSpeed speed)
 {
     CheckTable &checks = world.admissions_.checks_;
@@ -279,7 +287,9 @@
 {
     const CheckTable &checks = world.admissions_.checks_;
     const Millis timeout = checks.running_ ? checks.startedAt_ + CheckTimeout : Millis::never();
-    return std::min(timeout, checks.nextAt_);
+    const bool mayNeedVerdicts = checks.running_ && world.admissions_.queued_ > Slots() && !isCheckOverdue(world);
+    const Millis verdictsAt = mayNeedVerdicts ? checks.startedAt_ + MaxCheckTimeWithoutVerdict : Millis::never();
+    return std::min({timeout, verdictsAt, checks.nextAt_});
 }
 
 } // namespace radishford
--- a/test/backend_speed_test.cpp
+++ b/test/backend_speed_test.cpp
@@ -48,6 +48,30 @@
     BOOST_TEST(fixture.fleet_.results_[number].responseToken_.has_value());
 }
 
+// Guards against a daemon that counts as unreachable because its backend server is slow to respond to a health check.
+BOOST_AUTO_TEST_CASE(requests_survive_a_health_check_without_a_response)
+{
+    for (const bool isFirstCheck : {false, true}) {
+        for (const bool isBodyInline : {false, true}) {
+            SpeedFixture fixture;
+            FakeFleet &fleet = fixture.fleet_;
+            fleet.ignoresChecks_ = [](std::size_t /*index*/) { return true; };
+            if (isFirstCheck) {
+                fleet.kill(0);
+                fleet.start(0);
+                fleet.runFor(Millis(4000));
+            }
+            FakeCall held = routedCall("held", false);
+            held.canInlineBody_ = isBodyInline;
+            const std::size_t number = fleet.call(0, held);
+            // The check is given up after 500 ms.
+            fleet.runFor(Millis(700));
+            BOOST_TEST(fleet.results_[number].responseToken_.has_value(), isFirstCheck << isBodyInline);
+            BOOST_TEST(fleet.executions("held") == 1, isFirstCheck << isBodyInline);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(the_baseline_adapts_to_a_server_that_stays_slow)
 {
     SpeedFixture fixture;
