A call that never got a slot is no longer reported as perhaps run

A call that finds its servers full or limited is offered again every 15 to 112 ms until its time limit. The last offer could be made in the last millisecond; when the limit passed before its reply, the caller got 504 (2002, the outcome is unknown) for a request that no server had received.

The log shows call_failed 2002, last Overloaded, offers 16 and 17, backends 0, attempt_age_ms 0; the server had not received them.

A further offer is now made only with the time left that the inbound side asks for, and the last wait is shortened so that one more offer fits in before. Otherwise the call fails at once, as not run.

--- a/src/call/call_cmd.cpp
+++ b/src/call/call_cmd.cpp
@@ -170,28 +170,38 @@
     });
 }
 
+// Time after which a call has too little time left for a further offer. Negative when that is so already.
+Millis timeUntilLastOffer(const World &world, const Call &call)
+{
+    return call.deadline_ - world.now_ - minOfferTime(world, call.class_);
+}
+
 // True when a backend server that gets capacity a little later could still respond to a routed call in time.
 bool canStillBeAnswered(const World &world, const Call &call)
 {
     const bool mayRetry = call.backendsReached_ < call.maxBackends_ && (!call.mayHaveRun_ || call.isIdempotent_);
-    return mayRetry && !isLimitedEverywhere(world, call) && !cannotAnswerWithin(world, call.class_, call.deadline_ - world.now_ - CapacityRetryDelay);
+    return mayRetry && !isLimitedEverywhere(world, call) && timeUntilLastOffer(world, call) >= CapacityRetryDelay;
 }
 
 // Handles a routed call for which no further backend server is available now: routes it again after a delay, or fails it.
 void waitForCapacity(World &world, CallId id, Call &call)
 {
-    if (call.isRetryScheduled_ || (call.attempts_.empty() && !canStillBeAnswered(world, call))) {
-        if (!call.isRetryScheduled_) {
-            failCall(world, id, call.isLimited_ ? ResultCode::BackendLimited : call.lastFailureCode_);
-        }
+    if (call.isRetryScheduled_) {
+        return;
+    }
+    if (call.attempts_.empty() && !canStillBeAnswered(world, call)) {
+        failCall(world, id, call.isLimited_ ? ResultCode::BackendLimited : call.lastFailureCode_);
+        return;
+    }
+    if (timeUntilLastOffer(world, call) < CapacityRetryDelay) {
         return;
     }
     call.isRetryScheduled_ = true;
     ++call.capacityRetries_;
     const double scaledDelay = CapacityRetryDelay.fractionalMillis() * std::min(call.capacityRetries_, MaxCapacityBackoff);
     // Retries are spread by 25% in both directions, so that calls do not return together.
-    const double jitteredDelay = scaledDelay * (0.75 + world.random_.uniformReal() / 2);
-    world.timers_.add(world.now_ + Millis::fromFractionalMillis(jitteredDelay), TimerKind::CallRetry, id.packed());
+    const Millis jitteredDelay = Millis::fromFractionalMillis(scaledDelay * (0.75 + world.random_.uniformReal() / 2));
+    world.timers_.add(world.now_ + std::min(jitteredDelay, timeUntilLastOffer(world, call)), TimerKind::CallRetry, id.packed());
 }
 
 // Handles a call for which no backend server is available now: routes it again after a delay, or fails it.
@@ -261,7 +271,8 @@
         return;
     }
     const std::int32_t attemptCount = call->routed_ ? backendsPossiblyReached(world, *call) : call->attemptsStarted_;
-    const bool isExhausted = attemptCount >= call->maxBackends_;
+    const bool isTooLate = call->routed_ && call->attemptsStarted_ > 0 && timeUntilLastOffer(world, *call) < Millis();
+    const bool isExhausted = attemptCount >= call->maxBackends_ || isTooLate;
     const InstanceId instance = isExhausted ? InstanceId{} : selectInstance(world, *call);
     if (!instance.isValid()) {
         handleNoCandidate(world, id, *call);
--- a/src/call/load_shedding.cpp
+++ b/src/call/load_shedding.cpp
@@ -75,6 +75,11 @@
     return timeLeft < std::max(MinTimeLeft, shortestTime(world.calls_.shortestResponses_, name));
 }
 
+Millis minOfferTime(const World &world, const ClassName &name)
+{
+    return CrossRegionAllowance + std::max(MinTimeLeft, shortestTime(world.calls_.shortestResponses_, name));
+}
+
 bool cannotFinishInTime(const World &world, const Admission &row, Millis wait)
 {
     const Millis shortest = shortestTime(world.admissions_.shortestServiceTimes_, row.offer_.class_);
--- a/src/call/load_shedding_func.h
+++ b/src/call/load_shedding_func.h
@@ -21,6 +21,9 @@
 // True when no backend server can respond to a call of the class within the time left.
 bool cannotAnswerWithin(const World &world, const ClassName &name, Millis timeLeft);
 
+// Returns the time that a call of the class must have left for a further offer. With less, the inbound side refuses it or its reply may come too late.
+Millis minOfferTime(const World &world, const ClassName &name);
+
 // True when the local backend server cannot finish a queued request in time that starts after this wait.
 bool cannotFinishInTime(const World &world, const Admission &row, Millis wait);
 
--- a/test/load_shedding_test.cpp
+++ b/test/load_shedding_test.cpp
@@ -65,6 +65,31 @@
     BOOST_TEST((result.endedAt_ - result.startedAt_ < Millis(220)));
 }
 
+// Guards against an offer made in the last milliseconds of a call, which then fails without a promise that it did not run.
+BOOST_AUTO_TEST_CASE(a_call_that_never_got_a_slot_is_reported_as_not_run)
+{
+    FakeFleet fleet(1, 62, routedSettings());
+    fleet.instances_[0].slots_ = 1;
+    startRoutedFleet(fleet);
+    fleet.call(0, routedCall("warm", true));
+    fleet.runFor(Millis(100));
+    fleet.instances_[0].serviceTime_ = Millis(60000);
+    FakeCall blocking = routedCall("blocking", true);
+    blocking.policy_.timeout_ = Millis(10000);
+    fleet.call(0, blocking);
+    fleet.runFor(Millis(20));
+    for (int number = 0; number < 400; ++number) {
+        fleet.call(0, routedCall("call" + std::to_string(number), true));
+        fleet.runFor(Millis(7));
+    }
+    fleet.runFor(Millis(1300));
+    for (std::size_t index = 2; index < fleet.results_.size(); ++index) {
+        const CallResult &result = fleet.results_[index];
+        BOOST_REQUIRE(result.failure_.has_value());
+        BOOST_TEST(provesNotRun(*result.failure_), "call " << index << " after " << (result.endedAt_ - result.startedAt_).count() << " ms");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(retry_delays_are_spread_and_at_most_a_third_of_the_time_left)
 {
     SingleSlotFixture fixture;
