Callers that close only their sending side get their response

A caller that closed its sending side after its request got 502 or 503 while its server ran the request, and further requests that it had sent before went unread: the end of the input was taken for the end of the caller, since a close looks the same until something is written.

Their sockets are on the daemon's machine, so the kernel's socket table tells whether a process still holds the peer's socket.

--- a/src/call/unanswered_type.h
+++ b/src/call/unanswered_type.h
@@ -7,7 +7,7 @@
 
 // Why a caller's connection ends while a request on it has no complete response. table/unanswered_reasons.h lists the names.
 enum class UnansweredReason : std::uint8_t {
-    CallerClosed, // The caller closed its connection, or only its sending side.
+    CallerClosed, // The caller closed its connection. One on another machine may have closed only its sending side.
     CallerReset, // The caller reset its connection, or acknowledged nothing for too long.
     HeadIncomplete, // The head of the request ended early or did not arrive in time. It did not become a call.
     BodyIncomplete, // The body ended early, stalled or grew too large while it was passed on.
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -6,6 +6,7 @@
 #include "core/hash.h"
 #include "net/accept_loop.h"
 #include "net/message_framing.h"
+#include "net/peer_socket.h"
 #include "net/peer_state.h"
 #include "net/socket_options.h"
 #include "net/trace_context.h"
@@ -71,6 +72,13 @@
     return peerState(socket) == PeerState::Gone ? UnansweredReason::CallerReset : UnansweredReason::CallerClosed;
 }
 
+// True when the caller of a connection has left. One that has only closed its sending side awaits its responses.
+bool hasLeft(tcp::socket &socket)
+{
+    const PeerState state = peerState(socket);
+    return state == PeerState::Gone || (state == PeerState::SendingClosed && !isPeerSocketOpen(socket));
+}
+
 // True when a connection was opened from the address of the local backend server, which makes calls while it runs requests.
 bool isFromBackend(const World &world, const tcp::socket &socket)
 {
@@ -350,15 +358,11 @@
         }
         if (!watch.hasInput()) {
             co_await watch.wait();
-        } else if (mayRead) {
-            if (!readAvailable(*connection)) {
-                endAbandoned(*connection);
-            }
-        } else {
-            if (isClosedByPeer(connection->stream_.socket())) {
+        } else if (!mayRead || !readAvailable(*connection)) {
+            if (hasLeft(connection->stream_.socket())) {
                 endAbandoned(*connection);
             }
-            // Unread bytes keep the socket readable.
+            // Unread bytes and the end of the input keep the socket readable.
             co_await watch.pause(DisconnectCheckInterval);
         }
     }
@@ -508,7 +512,7 @@
     if (body != ResultCode::Ok) {
         co_return co_await rejectRequest(connection, request, body, trace);
     }
-    if (isClosedByPeer(connection->stream_.socket())) {
+    if (hasLeft(connection->stream_.socket())) {
         // The caller left while its request waited to be read.
         worldRunner_.post(RequestRefused{ResultCode::Withdrawn, trace});
         const bool mayRead = departureReason(connection->stream_.socket()) == UnansweredReason::CallerClosed;
