--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -795,6 +795,9 @@
 {
     const Admission row = *world.admissions_.rows_.get(id);
     logAdmissionEnded(world, row.offer_, code);
+    if (code == ResultCode::BackendLimited) {
+        logLimitRejection(world);
+    }
     ++world.counters_.results_[code];
     if (provesNotRun(code)) {
         removeAdmissionNotRun(world, id, code);
--- a/src/call/admission_table.h
+++ b/src/call/admission_table.h
@@ -87,6 +87,8 @@
     std::deque<RecentHandOver> recentHandOvers_;
     // When the server was last asked, by a request or a health check, whether its limit still holds.
     Millis askedAt_;
+    // Until when rejections are not logged, since one was a short time ago.
+    Millis rejectionLoggedUntil_;
 };
 
 // Deregistration of a backend server that had not announced itself to this process.
--- a/src/call/request_limit.cpp
+++ b/src/call/request_limit.cpp
@@ -22,6 +22,8 @@
 constexpr Millis RefreshInterval{1000};
 // Lowest limit that is kept when the server has no health check: only a request can tell that the limit has ended.
 constexpr RequestRate MinUncheckedRate{0.2};
+// Time without rejections after which the next one is logged.
+constexpr Millis RejectionPause{5000};
 // Longest wait and interval that are reported, for a limit of zero.
 constexpr Millis MaxReportedTime{60000};
 
@@ -174,6 +176,17 @@
     return true;
 }
 
+void logLimitRejection(World &world)
+{
+    RequestLimitTable &limit = world.admissions_.limit_;
+    if (limit.rate_ && world.now_ >= limit.rejectionLoggedUntil_) {
+        const std::string service = world.admissions_.backend_.service_.value();
+        world.emit(LogStateChange{"backend server " + service + ": its limit of " + formatRate(*limit.rate_)
+                                  + " requests per second is used up, requests are rejected"});
+    }
+    limit.rejectionLoggedUntil_ = world.now_ + RejectionPause;
+}
+
 std::int32_t limitRank(const Offer &offer)
 {
     return 2 * offer.priority_ + (offer.isFromBackend_ ? 0 : 1);
--- a/src/call/request_limit_func.h
+++ b/src/call/request_limit_func.h
@@ -30,6 +30,9 @@
 // Uses up the token of a request that is handed over. False when the limit has fallen since its admission and does not allow it.
 bool spendToken(World &world, Admission &row);
 
+// Logs that requests are rejected because the limit is used up, if none was for a while.
+void logLimitRejection(World &world);
+
 // Returns the rank of a request while the server limits its requests: the lowest comes first. The priority decides, then calls of running requests come before
 // others.
 std::int32_t limitRank(const Offer &offer);
--- a/test/request_limit_test.cpp
+++ b/test/request_limit_test.cpp
@@ -175,6 +175,22 @@
     BOOST_TEST(limited.countHandOvers(1, since) > 0);
 }
 
+// Guards against requests that are rejected without a trace in the log, and against a line for each of them.
+BOOST_AUTO_TEST_CASE(a_limit_that_is_used_up_is_logged_once)
+{
+    LimitedFleet limited(1);
+    int lines = 0;
+    limited.fleet_.effectObserver_ = [&](std::size_t /*index*/, const Effect &effect) {
+        const auto *change = std::get_if<LogStateChange>(&effect);
+        lines += change != nullptr && change->text_.find("is used up") != std::string::npos ? 1 : 0;
+    };
+    limitAll(limited, 4);
+    BOOST_TEST(lines == 1);
+    limited.fleet_.runFor(Millis(7000));
+    limited.callFor(Millis(2000), CallInterval);
+    BOOST_TEST(lines == 2);
+}
+
 // Guards against offers that wait at limited servers while others are free.
 BOOST_AUTO_TEST_CASE(calls_go_to_servers_without_a_limit)
 {
