A deregistered server stays out of use after a restart of its daemon

The record of a daemon now names the start of its server that leaves, by a hash of id and start, whether it deregistered or said so in a response. The other daemons keep it beyond the restart and name it in each acknowledgement of a heartbeat and, as before, in each offer. A start that is told before it is announced is remembered. Another start, also one with a lower start time, is not affected. The confirmation needs no store call and waits for nothing; records and acknowledgements grow by 8 bytes each.

After a restart of all daemons nobody can tell, which stays open.

--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -787,8 +787,7 @@
     row.slownessAtHandOver_ = backend.slowness_;
     logHandOver(world, row);
     world.counters_.add(Counter::HandedOver);
-    const BackendStart start{backend.id_, backend.incarnation_};
-    world.emit(HandOver{row.exchange_, backend.address_, start, row.deadline_ - world.now_, maxReuseIdleTime(world)});
+    world.emit(HandOver{row.exchange_, backend.address_, currentStart(world), row.deadline_ - world.now_, maxReuseIdleTime(world)});
 }
 
 void failAdmission(World &world, AdmissionId id, ResultCode code)
--- a/src/call/admission_table.h
+++ b/src/call/admission_table.h
@@ -145,6 +145,8 @@
     RequestLimitTable limit_;
     // Latest deregistrations that arrived before any announcement with that id.
     std::deque<EarlyDeregistration> earlyDeregistrations_;
+    // Latest starts of backend servers that leave, by what other daemons say, and were not announced at that time.
+    std::deque<BackendStartHash> leavingStarts_;
     // By index of the class in the service's ticket. Routed requests share index 0.
     std::vector<ClassQueue> classes_;
     // Average service time without the reported slowdown, by class.
--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -278,10 +278,10 @@
 }
 
 // Remembers that the backend server of an instance leaves.
-void recordLeavingBackend(World &world, InstanceId id, const BackendStart &backend)
+void recordLeavingBackend(World &world, InstanceId id, BackendStartHash backend)
 {
     Instance *instance = world.fleet_.rows_.get(id);
-    if (instance != nullptr && !backend.id_.value().empty()) {
+    if (instance != nullptr && backend != BackendStartHash()) {
         instance->leavingBackend_ = backend;
     }
 }
--- a/src/call/backend_cmd.cpp
+++ b/src/call/backend_cmd.cpp
@@ -122,6 +122,12 @@
 
 } // namespace
 
+BackendStart currentStart(const World &world)
+{
+    const LocalBackend &backend = world.admissions_.backend_;
+    return BackendStart{backend.id_, backend.incarnation_};
+}
+
 Slots currentSlotLimit(const World &world)
 {
     const LocalBackend &backend = world.admissions_.backend_;
@@ -197,7 +203,7 @@
         if (hasRestarted) {
             resetNotices(world);
         }
-        backend.isLeaving_ = backend.isLeaving_ || wasDeregistered(world, event.id_, event.incarnation_);
+        backend.isLeaving_ = backend.isLeaving_ || wasRecordedLeaving(world) || wasDeregistered(world, event.id_, event.incarnation_);
         backend.slowness_ = Percent();
         backend.baselineSlowness_ = 0;
         backend.nearFullSamples_ = 0;
@@ -220,11 +226,7 @@
     if (!isAnnounced || !concernsStart(event.incarnation_, backend.incarnation_)) {
         return;
     }
-    backend.isLeaving_ = true;
-    if (backend.state_ == BackendState::Absent) {
-        return;
-    }
-    setBackendState(world, BackendState::Draining);
+    recordLeaving(world, hashOf(currentStart(world)));
 }
 
 Millis nextAdmitDue(const World &world)
--- a/src/call/backend_func.h
+++ b/src/call/backend_func.h
@@ -27,6 +27,9 @@
 // Returns the load to send to an instance, or an empty report when the measurement budget forbids it.
 LoadReport loadReportFor(World &world, const InstanceName &receiver);
 
+// Returns the start of the backend server that is announced now.
+BackendStart currentStart(const World &world);
+
 // Returns the number of slots that may be used now: fewer while the backend server is cold, at least one.
 Slots currentSlotLimit(const World &world);
 
--- a/src/call/backend_notice.cpp
+++ b/src/call/backend_notice.cpp
@@ -4,17 +4,28 @@
 #include "call/backend_func.h"
 #include "call/backend_speed_func.h"
 #include "call/request_limit_func.h"
+#include "fleet/gossip_func.h"
 #include "world/world.h"
 
+#include <algorithm>
+
 namespace radishford {
 
 namespace {
 
-// The start of the backend server that is announced now.
-BackendStart currentStart(const World &world)
+constexpr std::size_t MaxLeavingStarts = 8;
+
+// Remembers a start that is not announced now.
+void rememberLeavingStart(World &world, BackendStartHash start)
 {
-    const LocalBackend &backend = world.admissions_.backend_;
-    return BackendStart{backend.id_, backend.incarnation_};
+    std::deque<BackendStartHash> &starts = world.admissions_.leavingStarts_;
+    if (std::find(starts.begin(), starts.end(), start) != starts.end()) {
+        return;
+    }
+    starts.push_back(start);
+    if (starts.size() > MaxLeavingStarts) {
+        starts.pop_front();
+    }
 }
 
 } // namespace
@@ -27,21 +38,35 @@
     world.admissions_.backend_.isNoticeKnown_ = true;
     applyStatedLimit(world, event);
     if (event.notice_.isLeaving_) {
-        recordLeaving(world, event.backend_);
+        recordLeaving(world, hashOf(event.backend_));
     }
 }
 
-void recordLeaving(World &world, const BackendStart &start)
+void recordLeaving(World &world, BackendStartHash start)
 {
     LocalBackend &backend = world.admissions_.backend_;
-    if (start.id_.value().empty() || start != currentStart(world) || backend.isLeaving_) {
+    if (start == BackendStartHash()) {
+        return;
+    }
+    if (start != hashOf(currentStart(world))) {
+        rememberLeavingStart(world, start);
+        return;
+    }
+    if (backend.isLeaving_) {
         return;
     }
     backend.isLeaving_ = true;
-    world.emit(LogStateChange{"backend server " + backend.service_.value() + " states that it leaves"});
+    world.emit(LogStateChange{"backend server " + backend.service_.value() + " leaves"});
     if (backend.state_ != BackendState::Absent) {
         setBackendState(world, BackendState::Draining);
     }
+    publishOwnRecord(world);
+}
+
+bool wasRecordedLeaving(const World &world)
+{
+    const std::deque<BackendStartHash> &starts = world.admissions_.leavingStarts_;
+    return std::find(starts.begin(), starts.end(), hashOf(currentStart(world))) != starts.end();
 }
 
 void resetNotices(World &world)
--- a/src/call/backend_notice_func.h
+++ b/src/call/backend_notice_func.h
@@ -11,8 +11,12 @@
 // Applies what a response states. A response of an earlier start of the server is ignored.
 void handle(World &world, const BackendStated &event);
 
-// Records that a start of a server leaves. Only has an effect if that start is announced now. The server then gets no further request.
-void recordLeaving(World &world, const BackendStart &start);
+// Records that a start of a server leaves, which then gets no further request. One that is not announced now is remembered, since its announcements may arrive
+// late. The other daemons are told.
+void recordLeaving(World &world, BackendStartHash start);
+
+// True when the announced start of the server was recorded to leave before it was announced.
+bool wasRecordedLeaving(const World &world);
 
 // Forgets what the previous start of the server stated.
 void resetNotices(World &world);
--- a/src/call/backend_speed_system.cpp
+++ b/src/call/backend_speed_system.cpp
@@ -55,7 +55,7 @@
     const LocalBackend &backend = world.admissions_.backend_;
     checks.running_ = true;
     checks.startedAt_ = world.now_;
-    checks.backend_ = BackendStart{backend.id_, backend.incarnation_};
+    checks.backend_ = currentStart(world);
     checks.nextAt_ = Millis::never();
     world.counters_.add(Counter::BackendChecks);
     world.emit(CheckBackendHealth{backend.address_, backend.incarnation_, findHealthPath(world.routes_, backend.service_)});
@@ -243,7 +243,7 @@
     CheckTable &checks = world.admissions_.checks_;
     LocalBackend &backend = world.admissions_.backend_;
     checks.running_ = false;
-    backend.hasBeenChecked_ = backend.hasBeenChecked_ || checks.backend_ == BackendStart{backend.id_, backend.incarnation_};
+    backend.hasBeenChecked_ = backend.hasBeenChecked_ || checks.backend_ == currentStart(world);
     const bool isSameServer = event.ok_ && (backend.id_.value().empty() || event.id_ == backend.id_);
     endInterrupted(world, isSameServer);
     checks.interrupted_ = std::exchange(checks.interruptedSinceCheck_, {});
--- a/src/call/exchange_type.h
+++ b/src/call/exchange_type.h
@@ -47,8 +47,8 @@
     Millis latencyTargetRemaining_;
     // True when a backend server made the call while it ran another request.
     bool isFromBackend_ = false;
-    // The backend server of the inbound side that the outbound side knows to leave; without an id when it knows of none.
-    BackendStart leavingBackend_{};
+    // The backend server of the inbound side that the outbound side knows to leave; zero when it knows of none.
+    BackendStartHash leavingBackend_{};
     // True when the body follows the offer at once, so that an immediate admission needs no confirmation.
     bool isBodyInline_ = false;
     // True when the inbound side must have the whole body before it hands the request over.
--- a/src/core/units_type.h
+++ b/src/core/units_type.h
@@ -52,6 +52,8 @@
 
 // Hash of a request's method, target and body.
 using Fingerprint = StrongType<struct FingerprintTag, std::uint64_t>;
+// Hash of one start of a backend server, by which messages name it; zero names none.
+using BackendStartHash = StrongType<struct BackendStartHashTag, std::uint64_t>;
 
 // Id of a trace across all hops.
 using TraceId = StrongType<struct TraceIdTag, std::string>;
--- a/src/fleet/datagram_type.h
+++ b/src/fleet/datagram_type.h
@@ -48,6 +48,8 @@
 // Acknowledgement of a ping.
 struct Ack {
     GossipHeader header_;
+    // The backend server beside the receiver that leaves, as the sender knows; zero when it knows of none. The receiver may have restarted since.
+    BackendStartHash leavingBackend_{};
 };
 
 // Asks the receiver to ping a third instance.
--- a/src/fleet/gossip_system.cpp
+++ b/src/fleet/gossip_system.cpp
@@ -1,5 +1,7 @@
 // Heartbeats between daemons, modelled on SWIM: random ping targets, indirect pings, suspicion, and instance records that are sent
 // inside heartbeat messages.
+#include "call/backend_func.h"
+#include "call/backend_notice_func.h"
 #include "call/suspect_func.h"
 #include "fleet/gossip_func.h"
 #include "fleet/instance_func.h"
@@ -350,6 +352,10 @@
     const bool isTableDifferent = ping.header_.tableHash_ != world.fleet_.tableHash_;
     Ack ack{makeHeader(world, ping.header_.sequence_, isTableDifferent)};
     appendSupersedingRecord(world, ping.header_, ack.header_.records_);
+    const auto sender = world.fleet_.byName_.find(ping.header_.sender_);
+    if (sender != world.fleet_.byName_.end()) {
+        ack.leavingBackend_ = world.fleet_.rows_.get(sender->second)->leavingBackend_;
+    }
     sendHeartbeatDatagram(world, from, std::move(ack));
 }
 
@@ -369,6 +375,7 @@
 void handleDatagram(World &world, const Address &from, const Ack &ack)
 {
     mergeHeader(world, from, ack.header_);
+    recordLeaving(world, ack.leavingBackend_);
     auto &pending = world.fleet_.pendingPings_;
     std::erase_if(pending, [&](const PendingPing &ping) { return ping.sequence_ == ack.header_.sequence_; });
     forwardRelayedAck(world, ack.header_);
@@ -393,6 +400,7 @@
     record.service_ = backend.service_;
     record.slots_ = backend.slots_;
     record.backend_ = backend.state_;
+    record.leavingBackend_ = backend.isLeaving_ ? hashOf(currentStart(world)) : BackendStartHash();
     const bool isDraining = isShuttingDown(world) || isDrainedByTicket(world, record.name_);
     if (isDraining && backend.state_ == BackendState::Ready) {
         record.backend_ = BackendState::Draining;
--- a/src/fleet/instance_base.h
+++ b/src/fleet/instance_base.h
@@ -48,9 +48,9 @@
     Millis lastHeardAt_;
     // Transit times of its offers to this daemon.
     TransitBaseline transit_;
-    // The backend server that stated in a response to this daemon that it leaves; without an id when none did. Offers tell it to the daemon beside the server,
-    // which forgets it when it restarts.
-    BackendStart leavingBackend_;
+    // The latest backend server of the instance that leaves, by its record or by a response to this daemon; zero when none does. Offers and
+    // acknowledgements tell it to the daemon beside the server, which forgets it when it restarts.
+    BackendStartHash leavingBackend_;
     // Time at which the last probe was sent.
     Millis lastProbedAt_;
 };
--- a/src/fleet/instance_cmd.cpp
+++ b/src/fleet/instance_cmd.cpp
@@ -84,6 +84,14 @@
     row.remainingTransmissions_ = TransmitsPerDoubling * static_cast<int>(std::bit_width(fleet.rows_.size() + 1));
 }
 
+// Keeps what a record says of a leaving backend server beyond the restart of its daemon.
+void keepLeavingBackend(Instance &row)
+{
+    if (row.record_.leavingBackend_ != BackendStartHash()) {
+        row.leavingBackend_ = row.record_.leavingBackend_;
+    }
+}
+
 // Replaces the record of a row and updates the indexes. Resets the observations about the instance when it has restarted.
 void replaceRecord(World &world, InstanceId id, const InstanceRecord &record)
 {
@@ -93,6 +101,7 @@
     const bool healthChanged = row.record_.health_ != record.health_;
     const bool restarted = row.record_.incarnation_ != record.incarnation_;
     row.record_ = record;
+    keepLeavingBackend(row);
     indexRow(fleet, id, record);
     if (restarted) {
         row.reportReceivedAt_ = Millis::never();
@@ -114,6 +123,7 @@
     FleetTable &fleet = world.fleet_;
     Instance row;
     row.record_ = record;
+    keepLeavingBackend(row);
     row.domain_ = domain;
     row.region_ = regionOfDomain(world, domain);
     row.healthChangedAt_ = world.now_;
@@ -137,6 +147,11 @@
 
 } // namespace
 
+BackendStartHash hashOf(const BackendStart &start)
+{
+    return start.id_.value().empty() ? BackendStartHash() : BackendStartHash(hashBytes(start.id_.value(), start.incarnation_.value()));
+}
+
 bool supersedes(const InstanceRecord &first, const InstanceRecord &second)
 {
     const auto rank = [](const InstanceRecord &record) { return std::tuple(record.incarnation_, record.version_, record.health_); };
--- a/src/fleet/instance_type.h
+++ b/src/fleet/instance_type.h
@@ -38,6 +38,9 @@
     bool operator==(const BackendStart &) const = default;
 };
 
+// Returns the hash that names a start of a backend server in messages; zero without an id.
+BackendStartHash hashOf(const BackendStart &start);
+
 // Record of one instance that gossip disseminates. Only the instance itself raises the version.
 struct InstanceRecord {
     // Unique name.
@@ -60,6 +63,8 @@
     Slots slots_;
     // State of the backend server.
     BackendState backend_ = BackendState::Absent;
+    // The start of the backend server that is announced now, if it has deregistered or stated that it leaves; zero otherwise.
+    BackendStartHash leavingBackend_{};
 };
 
 } // namespace radishford
--- a/src/measure/measurement_budget_system.cpp
+++ b/src/measure/measurement_budget_system.cpp
@@ -12,9 +12,9 @@
 // Bytes of the IP and UDP headers.
 constexpr std::int64_t IpUdpHeaderBytes = 28;
 // Upper bound of the fixed fields of any datagram, in bytes.
-constexpr std::int64_t FixedDatagramBytes = 48;
+constexpr std::int64_t FixedDatagramBytes = 56;
 // Upper bound of the fixed fields of a record, in bytes.
-constexpr std::int64_t FixedRecordBytes = 48;
+constexpr std::int64_t FixedRecordBytes = 56;
 // Capacity of a bucket, as seconds of its rate.
 constexpr double BurstSeconds = 1.0;
 
--- a/src/net/backend_client.cpp
+++ b/src/net/backend_client.cpp
@@ -440,7 +440,7 @@
 {
     ResponseHead head = makeResponseHead(parser, request.attempt_);
     if (adapter_.readNotice(parser.get()).isLeaving_) {
-        head.leavingBackend_ = BackendStart{request.requestContext_.id_, request.incarnation_};
+        head.leavingBackend_ = hashOf(BackendStart{request.requestContext_.id_, request.incarnation_});
     }
     request.responseConnection_->send(head);
     std::string part;
--- a/src/wire/frame_type.h
+++ b/src/wire/frame_type.h
@@ -37,8 +37,8 @@
     // True when the length of the body is known before it is sent.
     bool hasLength_ = false;
     std::uint64_t length_ = 0;
-    // The backend server, if it states in the response that it leaves; without an id otherwise.
-    BackendStart leavingBackend_{};
+    // The backend server, if it states in the response that it leaves; zero otherwise.
+    BackendStartHash leavingBackend_{};
 };
 
 // Part of the body of a request or response.
--- a/src/wire/serialize.h
+++ b/src/wire/serialize.h
@@ -223,7 +223,7 @@
 void serializeFields(Archive &archive, InstanceRecord &value)
 {
     serializeAll(archive, value.name_, value.address_, value.adminAddress_, value.failureDomain_, value.incarnation_, value.version_);
-    serializeAll(archive, value.health_, value.service_, value.slots_, value.backend_);
+    serializeAll(archive, value.health_, value.service_, value.slots_, value.backend_, value.leavingBackend_);
     checkRange(value.health_, Health::Left);
     checkRange(value.backend_, BackendState::Draining);
 }
@@ -243,7 +243,7 @@
 template<typename Archive>
 void serializeFields(Archive &archive, Ack &value)
 {
-    serializeField(archive, value.header_);
+    serializeAll(archive, value.header_, value.leavingBackend_);
 }
 
 template<typename Archive>
--- a/src/world/event_type.h
+++ b/src/world/event_type.h
@@ -93,8 +93,8 @@
 struct ResponseStarted {
     AttemptId attempt_;
     bool isWhole_ = false;
-    // The backend server, if it states in the response that it leaves; without an id otherwise.
-    BackendStart leavingBackend_{};
+    // The backend server, if it states in the response that it leaves; zero otherwise.
+    BackendStartHash leavingBackend_{};
 };
 
 // The complete response arrived.
--- a/test/codec_test.cpp
+++ b/test/codec_test.cpp
@@ -33,6 +33,7 @@
     record.version_ = *rc::gen::arbitrary<std::uint32_t>();
     record.health_ = static_cast<Health>(*rc::gen::inRange(0, 4));
     record.backend_ = static_cast<BackendState>(*rc::gen::inRange(0, 4));
+    record.leavingBackend_ = BackendStartHash(*rc::gen::arbitrary<std::uint64_t>());
     return record;
 }
 
@@ -52,7 +53,7 @@
 std::vector<Datagram> randomDatagrams()
 {
     return {Ping{randomHeader()},
-            Ack{randomHeader()},
+            Ack{randomHeader(), BackendStartHash(9)},
             PingRequest{randomHeader(), Address{1, 2}},
             Probe{3, ServiceName(randomString())},
             ProbeReply{4, InstanceName(randomString()), LoadReport{Slots(1), Slots(2), Slots(3), Millis(4)}},
@@ -90,7 +91,7 @@
 {
     Offer offer;
     offer.isFromBackend_ = true;
-    offer.leavingBackend_ = BackendStart{BackendId("i-1"), Incarnation(7)};
+    offer.leavingBackend_ = BackendStartHash(7);
     offer.callToken_ = randomString();
     std::string bytes = encodeFrame(offer).substr(FrameLengthBytes);
     const std::size_t position = *rc::gen::inRange<std::size_t>(0, bytes.size());
@@ -105,7 +106,7 @@
 
 BOOST_AUTO_TEST_CASE(notices_of_backend_servers_round_trip)
 {
-    const BackendStart start{BackendId("i-1"), Incarnation(7)};
+    const BackendStartHash start = hashOf(BackendStart{BackendId("i-1"), Incarnation(7)});
     ResponseHead head;
     head.leavingBackend_ = start;
     Offer offer;
@@ -142,6 +143,7 @@
     header.sender_ = record.name_;
     header.records_.assign(7, record);
     BOOST_TEST(encodeDatagram(PingRequest{header, Address{1, 2}}).size() <= MaxDatagramBytes);
+    BOOST_TEST(encodeDatagram(Ack{header, BackendStartHash(1)}).size() <= MaxDatagramBytes);
 }
 
 BOOST_AUTO_TEST_CASE(tickets_round_trip_through_frames_and_json)
--- a/test/fake/fake_effects.cpp
+++ b/test/fake/fake_effects.cpp
@@ -135,7 +135,7 @@
     if (exchange && !exchange->ended_) {
         const bool isLeaving = notice_ && notice_(index).isLeaving_;
         const BackendStart leaving{backendIdOf(index), Incarnation(static_cast<std::uint64_t>(instances_[index].backendGeneration_) + 1)};
-        sendToClient(exchange, ResponseStarted{exchange->attempt_, false, isLeaving ? leaving : BackendStart{}});
+        sendToClient(exchange, ResponseStarted{exchange->attempt_, false, isLeaving ? hashOf(leaving) : BackendStartHash()});
         sendToClient(exchange, ResponseCompleted{exchange->attempt_, effect.report_});
     }
 }
--- a/test/leaving_notice_test.cpp
+++ b/test/leaving_notice_test.cpp
@@ -63,6 +63,30 @@
     }
 }
 
+// Guards against a server that has deregistered and gets requests again once its daemon has restarted, since its announcements arrive late or go on.
+BOOST_AUTO_TEST_CASE(a_deregistered_server_gets_no_requests_after_a_restart_of_its_daemon)
+{
+    for (const Millis restartAfter : {Millis(20), Millis(2000)}) {
+        for (const Millis announcedAfter : {Millis(), Millis(3000)}) {
+            LimitedFleet limited(Instances);
+            limited.callFor(Millis(1000), CallInterval);
+            limited.fleet_.post(0, BackendDeregistered{limited.fleet_.backendIdOf(0)});
+            limited.callFor(restartAfter, CallInterval);
+            limited.fleet_.instances_[0].sendsAnnouncements_ = announcedAfter == Millis();
+            const Millis since = limited.fleet_.now();
+            limited.restart(0);
+            limited.callFor(announcedAfter, CallInterval);
+            limited.fleet_.instances_[0].sendsAnnouncements_ = true;
+            limited.callFor(Millis(8000), CallInterval);
+            BOOST_TEST(limited.countHandOvers(0, since) == 0, restartAfter.count() << " ms, " << announcedAfter.count() << " ms");
+            // Another start of the server is used.
+            limited.fleet_.failBackend(0, Millis(200));
+            limited.callFor(Millis(3000), CallInterval);
+            BOOST_TEST(limited.countHandOvers(0, since) > 0);
+        }
+    }
+}
+
 // Guards against a start that is known from no response, after the loss of all daemons.
 BOOST_AUTO_TEST_CASE(a_leaving_server_is_known_before_the_first_request_after_the_loss_of_all_daemons)
 {
