The whole list of daemons is read, and the latest rows are pinged first

A response of the store holds at most 500 rows; what followed was never read, and rows of daemons that are gone stay for good.

The list is now read to its end, and the rows are pinged in the order of their revisions, the latest first: daemons that have just started have just written theirs. A daemon that finds no other one reads again after 1 s, three times, then every 3 s; it was every 6 s.

--- a/src/fleet/directory_system.cpp
+++ b/src/fleet/directory_system.cpp
@@ -9,6 +9,7 @@
 #include "world/world.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace radishford {
 
@@ -22,6 +23,9 @@
 // Interval at which unknown members of the last read are pinged again. The member list is read again only while no other daemon is known
 // to run.
 constexpr Millis RediscoveryInterval{3000};
+// Interval and number of the first reads after one that found no other daemon. The others may be about to write their rows, as after a restore.
+constexpr Millis LonelyInterval{1000};
+constexpr std::int32_t MaxLonelyReads = 3;
 // Maximum number of daemons pinged at a time; heartbeats spread the records of the others.
 constexpr std::size_t MaxPingsPerRead = 16;
 
@@ -40,16 +44,15 @@
     directory.nextAt_ = world.now_ + Millis::fromFractionalMillis(delayMs);
 }
 
-// Pings daemons of the member list that are not known yet, starting at a random row.
-void pingUnknownMembers(World &world, const std::vector<MemberRow> &rows)
+// Pings daemons of the member list that are not known yet, those first that follow the ones pinged last.
+void pingUnknownMembers(World &world)
 {
-    if (rows.empty()) {
-        return;
-    }
-    const std::size_t start = world.random_.uniformBelow(rows.size());
+    DirectoryTable &directory = world.directory_;
+    const std::size_t rows = directory.rows_.size();
     std::size_t pinged = 0;
-    for (std::size_t step = 0; step < rows.size() && pinged < MaxPingsPerRead; ++step) {
-        const MemberRow &row = rows[(start + step) % rows.size()];
+    for (std::size_t step = 0; step < rows && pinged < MaxPingsPerRead; ++step) {
+        const MemberRow &row = directory.rows_[directory.nextRow_ % rows];
+        directory.nextRow_ = (directory.nextRow_ + 1) % rows;
         const bool isKnown = world.fleet_.byAddress_.contains(row.address_);
         if (!isKnown && row.name_ != world.settings_.name_) {
             pingAddress(world, row.address_);
@@ -58,6 +61,20 @@
     }
 }
 
+// Adds a part of the list to the read in progress. Returns true when the read is complete. A part that begins with the row that ended the previous one overlaps
+// with it.
+bool addPart(DirectoryTable &directory, const StoreResponse &response)
+{
+    for (const MemberRow &row : response.members_) {
+        if (directory.partialRows_.empty() || directory.partialRows_.back().name_ < row.name_) {
+            directory.partialRows_.push_back(row);
+        }
+    }
+    const bool isProgress = directory.readFrom_ < response.moreMembersFrom_;
+    directory.readFrom_ = isProgress ? response.moreMembersFrom_ : InstanceName();
+    return !isProgress;
+}
+
 // True when this daemon knows of no other running daemon.
 bool isOnlyKnownDaemon(const World &world)
 {
@@ -86,10 +103,19 @@
         directory.nextAt_ = world.now_;
         return true;
     }
-    directory.rows_ = response.members_;
-    pingUnknownMembers(world, directory.rows_);
+    if (!addPart(directory, response)) {
+        directory.nextAt_ = world.now_;
+        return true;
+    }
+    directory.rows_ = std::exchange(directory.partialRows_, {});
+    std::stable_sort(directory.rows_.begin(), directory.rows_.end(),
+                     [](const MemberRow &first, const MemberRow &second) { return first.revision_ > second.revision_; });
+    directory.nextRow_ = 0;
+    pingUnknownMembers(world);
     directory.nextStep_ = DirectoryStep::Idle;
-    directory.nextAt_ = world.now_ + RediscoveryInterval;
+    directory.lonelyReads_ = isOnlyKnownDaemon(world) ? directory.lonelyReads_ + 1 : 0;
+    const bool readsSoon = directory.lonelyReads_ > 0 && directory.lonelyReads_ <= MaxLonelyReads;
+    directory.nextAt_ = world.now_ + (readsSoon ? LonelyInterval : RediscoveryInterval);
     return true;
 }
 
@@ -99,6 +125,8 @@
     const double daemons = static_cast<double>(world.fleet_.rows_.size());
     const double delayMs = daemons / (world.settings_.storeWritesPerSecond_ * RewriteShare) * MillisPerSecond * world.random_.uniformReal();
     directory.pendingRequest_ = 0;
+    directory.partialRows_.clear();
+    directory.readFrom_ = InstanceName();
     directory.nextStep_ = DirectoryStep::WriteOwnRow;
     directory.nextAt_ = world.now_ + Millis::fromFractionalMillis(delayMs);
 }
@@ -114,12 +142,12 @@
         directory.pendingRequest_ = sendStoreRequest(world, MemberPut{MemberRow{world.settings_.name_, world.settings_.address_}});
         break;
     case DirectoryStep::ReadMembers:
-        directory.pendingRequest_ = sendStoreRequest(world, MemberList{});
+        directory.pendingRequest_ = sendStoreRequest(world, MemberList{directory.readFrom_});
         break;
     case DirectoryStep::Idle:
-        pingUnknownMembers(world, directory.rows_);
+        pingUnknownMembers(world);
         directory.nextStep_ = isOnlyKnownDaemon(world) ? DirectoryStep::ReadMembers : DirectoryStep::Idle;
-        directory.nextAt_ = world.now_ + RediscoveryInterval;
+        directory.nextAt_ = isOnlyKnownDaemon(world) ? world.now_ : world.now_ + RediscoveryInterval;
         break;
     }
 }
--- a/src/store/member_type.h
+++ b/src/store/member_type.h
@@ -11,6 +11,8 @@
     InstanceName name_;
     // Address at which the daemon accepts exchanges and datagrams.
     Address address_;
+    // Revision of the store at which the row was written; zero when the store does not tell.
+    StoreRevision revision_{};
 };
 
 } // namespace radishford
--- a/src/store/store_type.h
+++ b/src/store/store_type.h
@@ -83,8 +83,10 @@
     MemberRow row_;
 };
 
-// Reads all rows of the list of daemons.
+// Reads rows of the list of daemons.
 struct MemberList {
+    // First name to read; empty for the start of the list.
+    InstanceName from_{};
 };
 
 // Any request to the store.
@@ -116,8 +118,10 @@
     StoreRevision revision_;
     // True when the store no longer keeps its history from the requested revision on.
     bool isHistoryCompacted_ = false;
-    // The list of daemons.
+    // Rows of the list of daemons, in the order of their names.
     std::vector<MemberRow> members_;
+    // Name from which the list goes on when it does not fit into one response; empty after its last row.
+    InstanceName moreMembersFrom_;
     // Errors of the rows that were left out because they cannot be decoded.
     std::vector<std::string> rowErrors_;
 };
--- a/test/directory_test.cpp
+++ b/test/directory_test.cpp
@@ -50,6 +50,31 @@
     BOOST_TEST(allUseVersion(fleet, 1));
 }
 
+// Guards against daemons that do not find each other, after the loss of all, among the rows of those that are gone for good.
+BOOST_AUTO_TEST_CASE(the_fleet_finds_itself_among_many_rows_of_daemons_that_are_gone)
+{
+    for (const std::uint32_t staleRows : {10U, 500U, 2000U, 10000U}) {
+        FakeFleet fleet(Instances, 15, routedSettings());
+        startRoutedFleet(fleet);
+        for (std::uint32_t number = 0; number < staleRows; ++number) {
+            const MemberRow row{InstanceName("a-gone-" + std::to_string(number)), Address{(127U << 24U) + 65536U + number, 7400}};
+            fleet.store_.run(MemberPut{row});
+        }
+        for (std::size_t index = 0; index < Instances; ++index) {
+            fleet.kill(index);
+        }
+        fleet.runFor(Millis(1400));
+        const std::uint64_t readsBefore = fleet.store_.readCount_;
+        for (std::size_t index = 0; index < Instances; ++index) {
+            fleet.start(index);
+        }
+        fleet.runFor(Millis(4000));
+        BOOST_TEST(allDaemonsKnowEachOther(fleet), staleRows);
+        // One read for each 500 rows, one of the desired state and a few of its watch.
+        BOOST_TEST(fleet.store_.readCount_ - readsBefore <= Instances * (staleRows / 499 + 1 + 8), staleRows);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_unavailable_store_at_the_start_only_delays_discovery)
 {
     FakeFleet fleet(Instances, 13, routedSettings());
--- a/test/fake/fake_store.h
+++ b/test/fake/fake_store.h
@@ -25,6 +25,8 @@
     std::vector<TicketObject> routing_;
     StoreRevision routingRevision_;
     std::vector<MemberRow> members_;
+    // Most rows of the list of daemons in one response.
+    std::size_t maxMemberRows_ = 500;
     // Revision of the latest change of any row.
     StoreRevision revision_;
     // History before this revision is compacted.
@@ -135,15 +137,23 @@
         ++writeCount_;
         writeOtherRows(1);
         std::erase_if(members_, [&](const MemberRow &row) { return row.name_ == put.row_.name_; });
-        members_.push_back(put.row_);
+        MemberRow row = put.row_;
+        row.revision_ = revision_;
+        members_.push_back(row);
         return {};
     }
 
-    StoreResponse apply(const MemberList & /*list*/)
+    StoreResponse apply(const MemberList &list)
     {
         ++readCount_;
         StoreResponse response;
-        response.members_ = members_;
+        std::copy_if(members_.begin(), members_.end(), std::back_inserter(response.members_), [&](const MemberRow &row) { return row.name_ >= list.from_; });
+        std::sort(response.members_.begin(), response.members_.end(),
+                  [](const MemberRow &first, const MemberRow &second) { return first.name_ < second.name_; });
+        if (response.members_.size() > maxMemberRows_) {
+            response.members_.resize(maxMemberRows_);
+            response.moreMembersFrom_ = response.members_.back().name_;
+        }
         return response;
     }
 
