A daemon that starts pings some of the latest rows and some at random

The time between reads is again what it was.

directory_test, store_restore_test, watch_test and platform_restore_test pass, among them 10 to 10,000 stale rows.

--- a/src/fleet/directory_system.cpp
+++ b/src/fleet/directory_system.cpp
@@ -23,11 +23,10 @@
 // Interval at which unknown members of the last read are pinged again. The member list is read again only while no other daemon is known
 // to run.
 constexpr Millis RediscoveryInterval{3000};
-// Interval and number of the first reads after one that found no other daemon. The others may be about to write their rows, as after a restore.
-constexpr Millis LonelyInterval{1000};
-constexpr std::int32_t MaxLonelyReads = 3;
 // Maximum number of daemons pinged at a time; heartbeats spread the records of the others.
 constexpr std::size_t MaxPingsPerRead = 16;
+// Number of these that go to the members whose rows were written last.
+constexpr std::size_t MaxPingsOfLatest = 4;
 
 // Part of the fleet's write rate that the daemons use to write their rows again after a restore of the store.
 constexpr double RewriteShare = 0.5;
@@ -44,15 +43,13 @@
     directory.nextAt_ = world.now_ + Millis::fromFractionalMillis(delayMs);
 }
 
-// Pings daemons of the member list that are not known yet, those first that follow the ones pinged last.
-void pingUnknownMembers(World &world)
+// Pings up to a number of daemons that are not known yet, from a row of the list on.
+void pingUnknownMembers(World &world, std::size_t firstRow, std::size_t maxPings)
 {
-    DirectoryTable &directory = world.directory_;
-    const std::size_t rows = directory.rows_.size();
+    const std::vector<MemberRow> &rows = world.directory_.rows_;
     std::size_t pinged = 0;
-    for (std::size_t step = 0; step < rows && pinged < MaxPingsPerRead; ++step) {
-        const MemberRow &row = directory.rows_[directory.nextRow_ % rows];
-        directory.nextRow_ = (directory.nextRow_ + 1) % rows;
+    for (std::size_t step = 0; step < rows.size() && pinged < maxPings; ++step) {
+        const MemberRow &row = rows[(firstRow + step) % rows.size()];
         const bool isKnown = world.fleet_.byAddress_.contains(row.address_);
         if (!isKnown && row.name_ != world.settings_.name_) {
             pingAddress(world, row.address_);
@@ -61,6 +58,16 @@
     }
 }
 
+// Pings daemons that are not known yet: some whose rows were written last, which run after a loss of all daemons, and others from a random row on.
+void pingUnknownMembers(World &world)
+{
+    const std::vector<MemberRow> &rows = world.directory_.rows_;
+    if (!rows.empty()) {
+        pingUnknownMembers(world, 0, MaxPingsOfLatest);
+        pingUnknownMembers(world, world.random_.uniformBelow(rows.size()), MaxPingsPerRead - MaxPingsOfLatest);
+    }
+}
+
 // Adds a part of the list to the read in progress. Returns true when the read is complete. A part that begins with the row that ended the previous one overlaps
 // with it.
 bool addPart(DirectoryTable &directory, const StoreResponse &response)
@@ -110,12 +117,9 @@
     directory.rows_ = std::exchange(directory.partialRows_, {});
     std::stable_sort(directory.rows_.begin(), directory.rows_.end(),
                      [](const MemberRow &first, const MemberRow &second) { return first.revision_ > second.revision_; });
-    directory.nextRow_ = 0;
     pingUnknownMembers(world);
     directory.nextStep_ = DirectoryStep::Idle;
-    directory.lonelyReads_ = isOnlyKnownDaemon(world) ? directory.lonelyReads_ + 1 : 0;
-    const bool readsSoon = directory.lonelyReads_ > 0 && directory.lonelyReads_ <= MaxLonelyReads;
-    directory.nextAt_ = world.now_ + (readsSoon ? LonelyInterval : RediscoveryInterval);
+    directory.nextAt_ = world.now_ + RediscoveryInterval;
     return true;
 }
 
@@ -147,7 +151,7 @@
     case DirectoryStep::Idle:
         pingUnknownMembers(world);
         directory.nextStep_ = isOnlyKnownDaemon(world) ? DirectoryStep::ReadMembers : DirectoryStep::Idle;
-        directory.nextAt_ = isOnlyKnownDaemon(world) ? world.now_ : world.now_ + RediscoveryInterval;
+        directory.nextAt_ = world.now_ + RediscoveryInterval;
         break;
     }
 }
--- a/src/fleet/directory_table.h
+++ b/src/fleet/directory_table.h
@@ -23,13 +23,9 @@
     std::uint64_t pendingRequest_ = 0;
     Millis nextAt_;
     std::int32_t consecutiveFailures_ = 0;
-    // Latest reads in a row at whose end this daemon knew no other one.
-    std::int32_t lonelyReads_ = 0;
     // Rows of the latest complete read, the latest written first: daemons that have started since the loss of all come before those that are long gone, whose
     // rows nobody removes.
     std::vector<MemberRow> rows_;
-    // Row at which the next pings start.
-    std::size_t nextRow_ = 0;
     // Rows of the read in progress, and the name from which it goes on.
     std::vector<MemberRow> partialRows_;
     InstanceName readFrom_;
