A limit that is stated again after a restart counts earlier requests

A daemon left hand-overs before the first limit that it heard of out of the last 4 s. After a restart of the daemon that limit may be one that its server states again: the requests between, which were not limited, and those after it were together more than the rule allows.

Hand-overs now count from the first one on, unless the server started after the daemon, so that this process has heard all it stated.

--- a/src/call/admission_table.h
+++ b/src/call/admission_table.h
@@ -83,7 +83,7 @@
     TokenBucket tokens_;
     // Number of admitted requests that have not been handed over yet.
     std::int32_t reserved_ = 0;
-    // Hand-overs in the last seconds and since the server first stated a limit, oldest first.
+    // Hand-overs in the last seconds, oldest first. Those before the first limit are left out if this process has seen the whole start of the server.
     std::deque<RecentHandOver> recentHandOvers_;
     // When the server was last asked, by a request or a health check, whether its limit still holds.
     Millis askedAt_;
--- a/src/call/request_limit.cpp
+++ b/src/call/request_limit.cpp
@@ -85,6 +85,12 @@
     return event.statedAt_ < limit.statedAt_ || (limit.rate_ && !isLower && event.askedAt_ < limit.statedAt_);
 }
 
+// True when the announced start of the server may have stated a limit before this process was there to hear of it.
+bool mayHaveStatedBefore(const World &world)
+{
+    return world.admissions_.backend_.incarnation_ <= world.settings_.incarnation_;
+}
+
 // Drops hand-overs that are older than the span.
 void forgetOldHandOvers(World &world)
 {
@@ -168,7 +174,7 @@
         return false;
     }
     limit.tokens_.tryTake(1, world.now_);
-    if (limit.statedAt_ != Millis()) {
+    if (limit.statedAt_ != Millis() || mayHaveStatedBefore(world)) {
         // Hand-overs after the end of a limit count too when the server states one again.
         forgetOldHandOvers(world);
         limit.recentHandOvers_.push_back(RecentHandOver{world.now_, limitRank(row.offer_)});
--- a/test/request_limit_test.cpp
+++ b/test/request_limit_test.cpp
@@ -98,6 +98,24 @@
     }
 }
 
+// Guards against requests that are not counted when a limit ends, the daemon beside the server restarts, and the limit is stated again.
+BOOST_AUTO_TEST_CASE(requests_before_a_limit_that_is_stated_again_after_a_restart_count)
+{
+    for (const Millis unlimited : {Millis(500), Millis(1500), Millis(3000)}) {
+        LimitedFleet limited(2);
+        limitAll(limited, 2);
+        limitAll(limited, -1);
+        limited.restart(0);
+        const Millis restartedAt = limited.fleet_.now();
+        // More than the other server takes.
+        limited.callFor(unlimited, Millis(2), 1);
+        limited.setLimit(0, 2);
+        limited.callFor(Millis(6000), Millis(2), 1);
+        BOOST_TEST(limited.countHandOvers(0, restartedAt) > 20);
+        checkRules(limited, std::to_string(unlimited.count()) + " ms");
+    }
+}
+
 // Guards against a daemon that hands over requests before it knows whether its server limits them, after the loss of all daemons.
 BOOST_AUTO_TEST_CASE(a_limit_is_known_before_the_first_request_after_the_loss_of_all_daemons)
 {
