--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -993,9 +993,10 @@
 {
 public:
     // The machines get addresses of their own. Their services are given in order; the zones repeat.
-    Deployment(const Options &options, const std::vector<std::string> &services)
+    Deployment(const Options &options, const std::vector<std::string> &services,
+               const std::vector<std::string> &zones = {"pamplemousses", "goodlands", "curepipe", "moka"})
         : folder_(makeFolder())
-        , machines_(findMachines(services))
+        , machines_(findMachines(services, zones))
         , storeEndpoint_{machines_.front().ip_.substr(0, machines_.front().ip_.rfind('.')) + ".250", 8142}
         , store_(storeEndpoint_)
     {
@@ -1118,16 +1119,15 @@
     }
 
     // Finds a network of loopback addresses whose ports are free.
-    static std::vector<Machine> findMachines(const std::vector<std::string> &services)
+    static std::vector<Machine> findMachines(const std::vector<std::string> &services, const std::vector<std::string> &zones)
     {
-        constexpr const char *Zones[] = {"pamplemousses", "goodlands", "curepipe", "moka"};
         const int first = 1 + static_cast<int>(getpid() % 200);
         for (int attempt = 0; attempt < 50; ++attempt) {
             const std::string network = "127." + std::to_string(100 + attempt) + "." + std::to_string(first) + ".";
             std::vector<Machine> machines;
             for (std::size_t index = 0; index < services.size(); ++index) {
                 const std::string number = std::to_string(index + 1);
-                machines.push_back(Machine{"sidecar-" + number, Zones[index % std::size(Zones)], services[index], network + number});
+                machines.push_back(Machine{"sidecar-" + number, zones[index % zones.size()], services[index], network + number});
             }
             const bool areFree = std::all_of(machines.begin(), machines.end(), [](const Machine &machine) { return machine.hasFreePorts(); });
             if (areFree && isFree({network + "250", 8142})) {
