--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -11,6 +11,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -47,6 +48,9 @@
 constexpr int Broken = 1;
 constexpr int CouldNotRun = 2;
 
+// Descriptors that a daemon may have open.
+constexpr int MaxDescriptors = 4100;
+
 // Milliseconds since the start of the test.
 inline std::int64_t now()
 {
@@ -571,6 +575,8 @@
     std::string zone_;
     std::string service_;
     std::string ip_;
+    // Control addresses of other machines that the settings name.
+    std::vector<std::string> seeds_ = {};
 
     static constexpr int ReadyPort = 8140;
     static constexpr int OutboundPort = 8141;
@@ -622,9 +628,9 @@
              object{
                  {"inbound", endpoint(InboundPort)}, {"outbound", endpoint(OutboundPort)}, {"ready", endpoint(ReadyPort)}, {"control", endpoint(ControlPort)}}},
             {"portRange", array{FirstDaemonPort, LastDaemonPort}},
-            {"seeds", array{}},
+            {"seeds", array(seeds_.begin(), seeds_.end())},
             {"bootstrap", true},
-            {"limits", object{{"cpuShare", 0.2}, {"cpuCores", 1}, {"memoryMb", 260}, {"maxFds", 4100}, {"linkMbps", 1000.0}, {"diskMb", 0}}},
+            {"limits", object{{"cpuShare", 0.2}, {"cpuCores", 1}, {"memoryMb", 260}, {"maxFds", MaxDescriptors}, {"linkMbps", 1000.0}, {"diskMb", 0}}},
             {"dataDir", nullptr},
             {"heartbeatS", 1.5},
             {"activeContracts", array{"base", "drain", "config", "cost", "retry", "recover", "health", "platform"}},
@@ -693,6 +699,9 @@
             const int log = open(logPath_.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600);
             dup2(log, STDOUT_FILENO);
             dup2(log, STDERR_FILENO);
+            // The limit of the settings (maxFds).
+            const rlimit descriptors{MaxDescriptors, MaxDescriptors};
+            setrlimit(RLIMIT_NOFILE, &descriptors);
             setenv("RADISHFORD_SETTINGS", settingsPath_.c_str(), 1);
             execl(program_.c_str(), program_.c_str(), "--platform-settings", settingsPath_.c_str(), nullptr);
             _exit(127);
@@ -730,6 +739,12 @@
         return status_;
     }
 
+    // Id of the process; zero when it has ended.
+    [[nodiscard]] pid_t id() const
+    {
+        return process_;
+    }
+
     // When the process was started last.
     [[nodiscard]] std::int64_t startedAt() const
     {
@@ -746,6 +761,27 @@
         return response && response->status_ == 200;
     }
 
+    // Names of the machines that this daemon believes to run with a ready backend server.
+    [[nodiscard]] std::set<std::string> readyMachines() const
+    {
+        Message request;
+        request.method_ = "GET";
+        request.target_ = "/members";
+        request.set("Host", "platform");
+        const std::optional<Message> response = sendRequest(machine_.ready(), request, 1000);
+        std::set<std::string> names;
+        if (!response || response->status_ != 200) {
+            return names;
+        }
+        const boost::json::value members = boost::json::parse(response->body_);
+        for (const boost::json::value &row : members.as_array()) {
+            if (row.at("health").as_string() == "alive" && row.at("backend").as_string() == "ready") {
+                names.emplace(row.at("instance").as_string());
+            }
+        }
+        return names;
+    }
+
     // Number of backend servers that this daemon knows to be ready.
     [[nodiscard]] int readyServers() const
     {
@@ -781,8 +817,9 @@
     using Check = std::function<void()>;
 
     // With a function for health checks, the heartbeats begin at startBeats() only.
-    Upstream(std::string id, Machine machine, std::string service, Run run, Check check = nullptr)
-        : id_(std::move(id))
+    Upstream(std::string id, Machine machine, std::string service, Run run, Check check = nullptr, int slots = 8)
+        : slots_(slots)
+        , id_(std::move(id))
         , machine_(std::move(machine))
         , service_(std::move(service))
         , run_(std::move(run))
@@ -821,12 +858,14 @@
     bool drain()
     {
         isDraining_ = true;
+        isLeaving_ = true;
         return sendBeat();
     }
 
     // Deregisters the server. True when the daemon has confirmed it.
     bool deregister()
     {
+        isLeaving_ = true;
         Message request;
         request.method_ = "POST";
         request.target_ = "/Instances.Deregister/" + id_;
@@ -853,14 +892,13 @@
     }
 
 private:
-    static constexpr int Slots = 8;
     static constexpr std::int64_t BeatInterval = 1500;
 
     bool sendBeat()
     {
         using boost::json::object;
         const std::lock_guard lock(beatMutex_);
-        const object info{{"service", service_}, {"version", "v1"}, {"zone", machine_.zone_}, {"slots", Slots}};
+        const object info{{"service", service_}, {"version", "v1"}, {"zone", machine_.zone_}, {"slots", slots_}};
         const object status{{"state", isDraining_ ? "draining" : "ready"}, {"sequence", ++sequence_}, {"coldRemainingS", 0}};
         Message request;
         request.method_ = "POST";
@@ -876,7 +914,8 @@
     {
         std::int64_t next = now();
         while (!isOver_) {
-            if (sendsBeats_ && now() >= next) {
+            const bool isDeregistered = isLeaving_ && !isDraining_;
+            if (sendsBeats_ && !isDeregistered && now() >= next) {
                 next = now() + (sendBeat() ? BeatInterval : 200);
             }
             pause(10);
@@ -890,8 +929,11 @@
         if (isOver_) {
             response.reset();
         }
+        if (response && isLeaving_) {
+            response->set("Server-Leaving", "1");
+        }
         if (response) {
-            response->set("Server-Load", std::to_string(handling_ - 1) + ",0," + std::to_string(Slots) + ",100");
+            response->set("Server-Load", std::to_string(handling_ - 1) + ",0," + std::to_string(slots_) + ",100");
         }
         --handling_;
         return response;
@@ -903,7 +945,7 @@
             if (check_) {
                 check_();
             }
-            Message response = makeResponse(isDraining_ ? 503 : 200);
+            Message response = makeResponse(isLeaving_ ? 503 : 200);
             response.set("Instance-Id", id_);
             return response;
         }
@@ -922,6 +964,7 @@
         return response;
     }
 
+    int slots_;
     std::string id_;
     Machine machine_;
     std::string service_;
@@ -931,6 +974,8 @@
     std::int64_t born_ = unixMillis();
     std::atomic<bool> isOver_ = false;
     std::atomic<bool> isDraining_ = false;
+    // True once it has reported that it drains, or has deregistered.
+    std::atomic<bool> isLeaving_ = false;
     std::atomic<int> handling_ = 0;
     std::mutex beatMutex_;
     std::int64_t sequence_ = 0;
@@ -947,8 +992,8 @@
     std::string body_;
 };
 
-// Sends a request of a client to the daemon of its machine. Returns the status; zero when the connection ended without an answer.
-inline int call(const Machine &machine, const ClientRequest &request, Record &record)
+// Builds the message of a client's request.
+inline Message makeMessage(const ClientRequest &request)
 {
     Message message;
     message.method_ = request.method_;
@@ -957,13 +1002,104 @@
     message.set("Attempt-Id", request.id_);
     message.set("Deadline-Ms", std::to_string(request.deadlineMs_));
     message.body_ = request.body_;
+    return message;
+}
+
+// Sends a request of a client to the daemon of its machine. Returns the status; zero when the connection ended without an answer.
+inline int send(const Machine &machine, const ClientRequest &request)
+{
+    const std::optional<Message> response = sendRequest(machine.outbound(), makeMessage(request), request.deadlineMs_ + 1000);
+    return response ? response->status_ : 0;
+}
+
+// A client that keeps its connection open.
+class KeptClient
+{
+public:
+    explicit KeptClient(const Machine &machine)
+        : socket_(connectTo(machine.outbound()))
+    {
+    }
+
+    ~KeptClient()
+    {
+        ::close(socket_);
+    }
+
+    KeptClient(const KeptClient &) = delete;
+    KeptClient &operator=(const KeptClient &) = delete;
+
+    // Returns the status; zero when there is no answer within the time limit.
+    int send(const ClientRequest &request)
+    {
+        const bool isSent = socket_ >= 0 && sendAll(socket_, toText(makeMessage(request)));
+        const std::optional<Message> response = isSent ? readMessage(socket_, buffer_, now() + request.deadlineMs_) : std::nullopt;
+        return response ? response->status_ : 0;
+    }
+
+private:
+    int socket_;
+    std::string buffer_;
+};
+
+// As above, with lines in the record.
+inline int call(const Machine &machine, const ClientRequest &request, Record &record)
+{
     record.add("client on " + machine.name_ + " sends " + request.method_ + " " + request.path_ + " " + request.id_);
-    const std::optional<Message> response = sendRequest(machine.outbound(), message, request.deadlineMs_ + 1000);
-    const int status = response ? response->status_ : 0;
+    const int status = send(machine, request);
     record.add("client on " + machine.name_ + " gets " + std::to_string(status) + " for " + request.id_);
     return status;
 }
 
+// Clients that send ordinary orders, each one after the other, and count what is lost.
+class Orders
+{
+public:
+    Orders(const Machine &machine, int clients)
+    {
+        for (int client = 0; client < clients; ++client) {
+            threads_.emplace_back([this, machine]() { run(machine); });
+        }
+    }
+
+    ~Orders()
+    {
+        stop();
+    }
+
+    Orders(const Orders &) = delete;
+    Orders &operator=(const Orders &) = delete;
+
+    void stop()
+    {
+        isOver_ = true;
+        for (std::thread &thread : threads_) {
+            thread.join();
+        }
+        threads_.clear();
+    }
+
+    [[nodiscard]] std::string text() const
+    {
+        return "ordinary orders: " + std::to_string(sent_) + ", answered 502 or 504: " + std::to_string(lost_);
+    }
+
+private:
+    void run(const Machine &machine)
+    {
+        while (!isOver_) {
+            const std::string id = "order" + std::to_string(++sent_);
+            const int status = send(machine, {"POST", "/orders/" + id, id, 1000, "order"});
+            lost_ += status == 502 || status == 504 ? 1 : 0;
+        }
+    }
+
+    std::atomic<bool> isOver_ = false;
+    std::atomic<int> sent_ = 0;
+    std::atomic<int> lost_ = 0;
+    std::vector<std::thread> threads_;
+};
+
 // Options of a case's command line.
 struct Options {
     bool hasTrouble_ = true;
@@ -988,6 +1124,56 @@
     return options;
 }
 
+// Asks a daemon once a second on one connection whether it is ready, as the platform does.
+class ReadinessPoll
+{
+public:
+    explicit ReadinessPoll(const Machine &machine)
+        : socket_(connectTo(machine.ready()))
+        , thread_([this]() { poll(); })
+    {
+    }
+
+    ~ReadinessPoll()
+    {
+        isOver_ = true;
+        thread_.join();
+        ::close(socket_);
+    }
+
+    ReadinessPoll(const ReadinessPoll &) = delete;
+    ReadinessPoll &operator=(const ReadinessPoll &) = delete;
+
+    // True when the latest answer was 200.
+    [[nodiscard]] bool isReady() const
+    {
+        return isReady_;
+    }
+
+private:
+    void poll()
+    {
+        Message request;
+        request.method_ = "GET";
+        request.target_ = "/ready";
+        request.set("Host", "platform");
+        std::string buffer;
+        while (!isOver_) {
+            const bool isSent = sendAll(socket_, toText(request));
+            const std::optional<Message> response = isSent ? readMessage(socket_, buffer, now() + 1000) : std::nullopt;
+            isReady_ = response && response->status_ == 200;
+            for (int step = 0; step < 20 && !isOver_; ++step) {
+                pause(50);
+            }
+        }
+    }
+
+    std::atomic<bool> isOver_ = false;
+    std::atomic<bool> isReady_ = false;
+    int socket_;
+    std::thread thread_;
+};
+
 // A small deployment: a store, machines with daemons, and a folder for their files that is removed at the end.
 class Deployment
 {
@@ -1035,6 +1221,19 @@
         return machines_[index];
     }
 
+    [[nodiscard]] const std::string &folder() const
+    {
+        return folder_;
+    }
+
+    // Returns a machine at an address that was not used before. Its daemon is not part of the deployment.
+    Machine newMachine(const std::string &service)
+    {
+        const std::string number = std::to_string(machines_.size() + ++newMachines_);
+        const std::string network = machines_.front().ip_.substr(0, machines_.front().ip_.rfind('.') + 1);
+        return Machine{"sidecar-" + number, machines_.front().zone_, service, network + number, {machines_.front().control().text()}};
+    }
+
     Daemon &daemon(std::size_t index)
     {
         return *daemons_[index];
@@ -1139,6 +1338,7 @@
 
     std::string folder_;
     std::vector<Machine> machines_;
+    std::size_t newMachines_ = 0;
     Endpoint storeEndpoint_;
     Store store_;
     std::vector<std::unique_ptr<Daemon>> daemons_;
