--- a/review/standin-2/poison.cpp
+++ b/review/standin-2/poison.cpp
@@ -7,6 +7,9 @@
 // Bounds of the pages: stableWindowS, and the number of retries that a crashing request may get after its third crash.
 constexpr std::int64_t StableWindow = 3000;
 constexpr std::size_t MaxRetries = 3;
+// Clients that send ordinary orders, and the time that an order works.
+constexpr int OrderClients = 4;
+constexpr std::int64_t Work = 200;
 // Time until a crashed server is back.
 constexpr std::int64_t ServerRestart = 1500;
 // Time between two sends of the request.
@@ -68,6 +71,10 @@
     std::optional<rig::Message> run(const rig::Upstream &server, const rig::Message &request)
     {
         const std::string attempt = request.field("Attempt-Id");
+        if (request.target_.starts_with("/orders/order")) {
+            rig::pause(Work);
+            return rig::makeResponse(200, "served " + attempt);
+        }
         record_.add("server " + server.id() + " runs " + request.method_ + " " + request.target_ + " " + attempt);
         if (request.target_ != PoisonPath) {
             rig::pause(5);
@@ -135,6 +142,7 @@
         return rig::CouldNotRun;
     }
     rig::pause(StableWindow);
+    rig::Orders orders(deployment.machine(Machines - 1), OrderClients);
     // The request comes until it has crashed three servers.
     for (std::size_t turn = 0; servers.thirdCrashAt() == 0 && turn < 8; ++turn) {
         sendPoison(deployment.machine(turn % Machines), record);
@@ -177,6 +185,8 @@
     for (const std::string &id : servers.reached()) {
         retries += counted.count(id);
     }
+    orders.stop();
+    record.add(orders.text());
     record.add("retries that reached a server later than stableWindowS after the third crash: " + std::to_string(retries)
                + ", allowed: " + std::to_string(MaxRetries));
     if (served != 200) {
--- a/review/standin-2/poison_caller.cpp
+++ b/review/standin-2/poison_caller.cpp
@@ -7,6 +7,9 @@
 // Bounds of the pages: stableWindowS, and the number of retries that a crashing request may get after its third crash.
 constexpr std::int64_t StableWindow = 3000;
 constexpr std::size_t MaxRetries = 3;
+// Clients that send ordinary orders, and the time that an order works.
+constexpr int OrderClients = 4;
+constexpr std::int64_t Work = 200;
 // Time until a crashed server is back.
 constexpr std::int64_t ServerRestart = 1500;
 // Time between two sends of the request.
@@ -75,6 +78,10 @@
     {
         const std::string attempt = request.field("Attempt-Id");
         const std::string caller = request.field("Caller-Service");
+        if (request.target_.starts_with("/orders/order")) {
+            rig::pause(Work);
+            return rig::makeResponse(200, "served " + attempt);
+        }
         record_.add("server " + server.id() + " runs " + request.method_ + " " + request.target_ + " " + attempt + " of " + caller);
         const bool crashes = hasTrouble_ && request.target_ == Path && caller == deployment_.machine(CrashingCaller).service_;
         if (!crashes) {
@@ -126,7 +133,7 @@
 {
     rig::Record record(options.recordPath_);
     rig::Deployment deployment(options, {"printing", "billing", "desk", "desk", "desk"});
-    deployment.configure(7, {{"rolls", "/rolls/", "safe", "desk"}}, {"desk", "printing", "billing"});
+    deployment.configure(7, {{"rolls", "/rolls/", "safe", "desk"}, {"orders", "/orders/", "unsafe", "desk"}}, {"desk", "printing", "billing"});
     const auto serveNothing = [](const rig::Upstream & /*server*/, const rig::Message & /*request*/) { return std::optional(rig::makeResponse(200)); };
     const rig::Upstream crashingCaller("i-1", deployment.machine(CrashingCaller), deployment.machine(CrashingCaller).service_, serveNothing);
     const rig::Upstream otherCaller("i-2", deployment.machine(OtherCaller), deployment.machine(OtherCaller).service_, serveNothing);
@@ -136,6 +143,7 @@
         return rig::CouldNotRun;
     }
     rig::pause(StableWindow);
+    rig::Orders orders(deployment.machine(OtherCaller), OrderClients);
     std::map<std::string, std::int64_t> sentAt;
     int served = 0;
     for (int send = 1; send <= Sends; ++send) {
@@ -155,6 +163,8 @@
             retries += sentAt[id] > countedFrom ? 1 : 0;
         }
     }
+    orders.stop();
+    record.add(orders.text());
     record.add("requests of the other caller that were served: " + std::to_string(served) + " of " + std::to_string(Sends));
     record.add("crashes: " + std::to_string(crashes.size()) + "; retries that reached a server later than stableWindowS after the third one: "
                + std::to_string(retries) + ", allowed: " + std::to_string(MaxRetries));
