--- a/review/standin-2/reused_address.cpp
+++ b/review/6/case.cpp
@@ -1,6 +1,6 @@
 // The only server of a service crashes, and a server of another service starts at its address. Its first heartbeat arrives while the daemon of a caller's
 // machine stands still for less than a tenth of a second, between its offer of a request and the confirmation.
-#include "rig.h"
+#include "../standin-2/rig.h"
 
 namespace {
 
--- a/review/standin-2/rig.h
+++ b/review/standin-2/rig.h
@@ -440,18 +440,6 @@
     Store(const Store &) = delete;
     Store &operator=(const Store &) = delete;
 
-    // Serves the same rows at another address too.
-    void addAddress(const Endpoint &endpoint)
-    {
-        newServer_ = makeServer(endpoint);
-    }
-
-    // Stops to serve at the first address.
-    void closeFirstAddress()
-    {
-        server_->stop();
-    }
-
     // Writes a row as the operator does.
     void write(const std::string &table, const std::string &key, const std::string &bytes)
     {
@@ -566,7 +554,6 @@
     bool isClosing_ = false;
     // Last, so that no request is handled before the other members exist.
     std::unique_ptr<Server> server_;
-    std::unique_ptr<Server> newServer_;
 };
 
 // One machine: the addresses of its daemon and of its backend server.
@@ -1179,10 +1166,9 @@
 {
 public:
     // The machines get addresses of their own. Their services are given in order; the zones repeat.
-    Deployment(const Options &options, const std::vector<std::string> &services,
-               const std::vector<std::string> &zones = {"pamplemousses", "goodlands", "curepipe", "moka"})
+    Deployment(const Options &options, const std::vector<std::string> &services)
         : folder_(makeFolder())
-        , machines_(findMachines(services, zones))
+        , machines_(findMachines(services))
         , storeEndpoint_{machines_.front().ip_.substr(0, machines_.front().ip_.rfind('.')) + ".250", 8142}
         , store_(storeEndpoint_)
     {
@@ -1239,20 +1225,6 @@
         return *daemons_[index];
     }
 
-    // Lets the store serve at a second address too, and returns it.
-    Endpoint moveStore()
-    {
-        const Endpoint address{storeEndpoint_.ip_.substr(0, storeEndpoint_.ip_.rfind('.')) + ".251", storeEndpoint_.port_};
-        store_.addAddress(address);
-        return address;
-    }
-
-    // Stops the store's first address.
-    void closeOldStore()
-    {
-        store_.closeFirstAddress();
-    }
-
     // Writes a desired state: its routes as rows of name, prefix, type and service.
     void configure(int version, const std::vector<std::vector<std::string>> &routes, const std::vector<std::string> &services)
     {
@@ -1318,8 +1290,9 @@
     }
 
     // Finds a network of loopback addresses whose ports are free.
-    static std::vector<Machine> findMachines(const std::vector<std::string> &services, const std::vector<std::string> &zones)
+    static std::vector<Machine> findMachines(const std::vector<std::string> &services)
     {
+        const std::vector<std::string> zones{"pamplemousses", "goodlands", "curepipe", "moka"};
         const int first = 1 + static_cast<int>(getpid() % 200);
         for (int attempt = 0; attempt < 50; ++attempt) {
             const std::string network = "127." + std::to_string(100 + attempt) + "." + std::to_string(first) + ".";
