--- a/review/standin-2/poison.cpp
+++ b/review/7/case.cpp
@@ -1,6 +1,6 @@
 // A request crashes every backend server that begins to run it. The daemons refuse it after the third crash. Then all daemons are stopped and started
 // in turn, while the request comes again from time to time.
-#include "rig.h"
+#include "../standin-2/rig.h"
 
 namespace {
 
