--- a/review/standin-2/poison_caller.cpp
+++ b/review/8/case.cpp
@@ -1,6 +1,6 @@
 // A request crashes every backend server that begins to run it, and comes again. A request of another caller with the same path, which crashes nothing,
 // is served in between.
-#include "rig.h"
+#include "../standin-2/rig.h"
 
 namespace {
 
