--- a/review/standin-2/caller_service.cpp
+++ b/review/10/case.cpp
@@ -1,6 +1,6 @@
 // The address of an upstream that has ended is assigned to an upstream of another service. The settings file of the machine changes without a signal. The
 // new upstream then makes calls through the daemon on its machine.
-#include "rig.h"
+#include "../standin-2/rig.h"
 
 namespace {
 
--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,5 +3,5 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
-[ -x target/radishfordd ] && [ -x target/review-2/caller_service ] || exit 2
-exec target/review-2/caller_service --trouble "${TROUBLE:-1}" --record "$folder/record.txt" --daemon target/radishfordd
+[ -x target/radishfordd ] && [ -x target/review-2/case-10 ] || exit 2
+exec target/review-2/case-10 --trouble "${TROUBLE:-1}" --record "$folder/record.txt" --daemon target/radishfordd
