Requests begin as the service that was named last

Cause: the name was taken from the settings file alone, which was polled every 5 s, although the daemon had confirmed the new server's announcement. The header of a request behind others on its connection was read twice, so that its service could change in between. A change of the file between the daemon's first reading and the watcher's was never applied.

Ruled out: resends take the fields that were set when the request began, so they were not the cause.

FileWatch notices a file that is written or renamed, through inotify; the poll stays as a net.

--- a/src/call/admission_table.h
+++ b/src/call/admission_table.h
@@ -39,6 +39,8 @@
     Millis latency_;
     // Id under which the backend server announces itself; empty when it has none.
     BackendId id_;
+    // True when it was announced after the settings last named a service.
+    bool namesCallers_ = false;
     // Sequence number of the latest announcement from this start.
     std::uint64_t sequence_ = 0;
     // True after it deregistered or stated in a response that it leaves; only a new start resets this.
--- a/src/call/backend_cmd.cpp
+++ b/src/call/backend_cmd.cpp
@@ -200,6 +200,7 @@
         backend.incarnation_ = event.incarnation_;
         backend.latency_ = Millis();
         backend.id_ = event.id_;
+        backend.namesCallers_ = true;
         if (hasRestarted) {
             resetNotices(world);
         }
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -47,13 +47,14 @@
 // Runs a daemon until SIGTERM or SIGINT requests shutdown, and then until the shutdown is complete.
 void runDaemon(const std::string &path, const SettingsParser &parser, const HttpAdapters &adapters)
 {
-    DaemonSettings settings = parser(readFile(path));
+    const std::string text = readFile(path);
+    DaemonSettings settings = parser(text);
     settings.world_.incarnation_ = Incarnation(unixMillis());
     initializeLog(settings.world_.name_.value());
     asio::io_context context(1);
     std::random_device device;
     Daemon daemon(context, settings, adapters, (static_cast<std::uint64_t>(device()) << 32U) | device());
-    SettingsWatcher watcher(daemon.worldRunner(), path, parser);
+    SettingsWatcher watcher(daemon.worldRunner(), path, text, parser);
     daemon.start();
     watcher.start();
     asio::signal_set signals(context, SIGTERM, SIGINT);
--- a/src/daemon/settings_watcher.cpp
+++ b/src/daemon/settings_watcher.cpp
@@ -11,23 +11,26 @@
 
 namespace {
 
-// Time between two polls of the file: short compared with the time in which operators expect a change to take effect, and cheap.
+// Time between two polls of the file, for changes that FileWatch does not report, such as that of a file behind a symbolic link.
 constexpr std::chrono::seconds PollInterval(5);
 
 } // namespace
 
-SettingsWatcher::SettingsWatcher(WorldRunner &worldRunner, std::string path, SettingsParser parser)
+SettingsWatcher::SettingsWatcher(WorldRunner &worldRunner, std::string path, std::string text, SettingsParser parser)
     : worldRunner_(worldRunner)
     , path_(std::move(path))
     , parser_(std::move(parser))
-    , activeText_(readFile(path_))
+    , activeText_(std::move(text))
     , signals_(worldRunner.context(), SIGHUP)
+    , watch_(worldRunner.context(), path_)
 {
 }
 
 void SettingsWatcher::start()
 {
+    reload("the file has changed");
     asio::co_spawn(worldRunner_.context(), awaitSignals(), asio::detached);
+    asio::co_spawn(worldRunner_.context(), awaitChanges(), asio::detached);
     asio::co_spawn(worldRunner_.context(), pollFile(), asio::detached);
 }
 
@@ -56,6 +59,17 @@
     }
 }
 
+Task<> SettingsWatcher::awaitChanges()
+{
+    for (;;) {
+        const bool hasChanged = co_await watch_.wait();
+        if (!hasChanged) {
+            co_return;
+        }
+        reload("the file has changed");
+    }
+}
+
 Task<> SettingsWatcher::pollFile()
 {
     asio::steady_timer timer(worldRunner_.context());
--- a/src/daemon/settings_watcher.h
+++ b/src/daemon/settings_watcher.h
@@ -1,6 +1,7 @@
 // Reloads the settings file of a running daemon when it changes.
 #pragma once
 
+#include "daemon/file_watch.h"
 #include "daemon/settings.h"
 #include "net/world_runner.h"
 
@@ -12,13 +13,14 @@
 // Parses the text of a settings file. Throws Error when it is invalid.
 using SettingsParser = std::function<DaemonSettings(const std::string &)>;
 
-// Reads the file on SIGHUP and at regular intervals. An invalid file is logged, and the active settings are kept.
+// Reads the file on SIGHUP, when it changes, and at regular intervals in case a change was not noticed. An invalid file is logged, and the active settings are kept.
 class SettingsWatcher
 {
 public:
-    SettingsWatcher(WorldRunner &worldRunner, std::string path, SettingsParser parser);
+    // The text is that of the active settings.
+    SettingsWatcher(WorldRunner &worldRunner, std::string path, std::string text, SettingsParser parser);
 
-    // Starts to wait for signals and to poll the file.
+    // Reads the file again if it has changed since, and starts to wait for changes.
     void start();
 
 private:
@@ -28,6 +30,9 @@
     // Reloads on each SIGHUP.
     Task<> awaitSignals();
 
+    // Reloads when the file changes.
+    Task<> awaitChanges();
+
     // Reloads at regular intervals.
     Task<> pollFile();
 
@@ -37,6 +42,7 @@
     // Text of the active settings.
     std::string activeText_;
     asio::signal_set signals_;
+    FileWatch watch_;
 };
 
 } // namespace radishford
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -488,8 +488,13 @@
         if (connection->isEnding_) {
             co_return false;
         }
-        // The configuration may have changed meanwhile.
-        parsedHeader = adapter_.readCall(worldRunner_.world(), request->header());
+        // The configuration may have changed meanwhile. The service as which the request began stays.
+        ParsedCallHeader current = adapter_.readCall(worldRunner_.world(), request->header());
+        if (parsedHeader.code_ == ResultCode::Ok) {
+            current.event_.callerService_ = parsedHeader.event_.callerService_;
+            current.fields_ = std::move(parsedHeader.fields_);
+        }
+        parsedHeader = std::move(current);
     }
     const TraceId trace = parsedHeader.event_.trace_;
     request->setTrace(trace);
--- a/src/world/event_type.h
+++ b/src/world/event_type.h
@@ -35,6 +35,8 @@
     // True when the body is small enough to be sent inline with an offer.
     bool canInlineBody_ = false;
     Fingerprint fingerprint_;
+    // Service as which the request begins; empty when the deployment does not tell callers apart by service.
+    ServiceName callerService_;
     std::string idempotencyKey_;
     // Timeout given by the caller, or zero for that of the request class.
     Millis timeout_;
--- a/src/world/shutdown.cpp
+++ b/src/world/shutdown.cpp
@@ -156,7 +156,10 @@
     current.retryWindowAllowance_ = changed.retryWindowAllowance_;
     current.retryWindow_ = changed.retryWindow_;
     current.backendChecksPerSecond_ = changed.backendChecksPerSecond_;
-    current.backendService_ = changed.backendService_;
+    if (current.backendService_ != changed.backendService_) {
+        current.backendService_ = changed.backendService_;
+        world.admissions_.backend_.namesCallers_ = false;
+    }
     current.backendAddress_ = changed.backendAddress_;
     if (isShuttingDown(world)) {
         // Calls were accepted under the durations that were set when the shutdown was requested.
--- a/test/standin/daemon_process.h
+++ b/test/standin/daemon_process.h
@@ -51,6 +51,12 @@
     DaemonProcess(const DaemonProcess &) = delete;
     DaemonProcess &operator=(const DaemonProcess &) = delete;
 
+    // Path of the settings file.
+    [[nodiscard]] std::string settingsPath() const
+    {
+        return (folder_ / "settings.json").string();
+    }
+
     // Replaces the settings file.
     void writeSettings(const std::string &settings) const
     {
@@ -121,11 +127,6 @@
         return folder;
     }
 
-    [[nodiscard]] std::string settingsPath() const
-    {
-        return (folder_ / "settings.json").string();
-    }
-
     [[nodiscard]] std::string logPath() const
     {
         return (folder_ / "log").string();
