A request runs only on the start of a server for which it was accepted

Cause: an admission did not name the start of the server for which it held. After the wait for the confirmation, the body, a key or a health check, the request was handed to whichever server was bound by then, under that server's own id, so that it could not answer 421. A health check answered by another server was ignored.

Ruled out: the queue. Queued requests were refused already when another server was bound.

Change: the admission bears the start; a hand-over to another start, or to none, fails as not run. A health check that another server answers clears the binding, and results of checks are matched by number and start.

The fake backend server no longer names itself in the answer to a health check while it is down.

--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -3,6 +3,7 @@
 #include "call/backend_func.h"
 #include "call/backend_notice_func.h"
 #include "call/backend_speed_func.h"
+#include "call/backend_succession_func.h"
 #include "call/connection_reuse_func.h"
 #include "call/link_load_func.h"
 #include "call/load_shedding_func.h"
@@ -36,13 +37,6 @@
 constexpr std::int32_t UsualSlownessPercent = 100;
 constexpr double PermilleScale = 1000.0;
 
-// True when the request was handed over to the backend server that is bound now. Another one may have taken its place since.
-bool ranOnCurrentBackend(const World &world, const Admission &row)
-{
-    const LocalBackend &backend = world.admissions_.backend_;
-    return row.backend_ == backend.id_ && row.backendIncarnation_ == backend.incarnation_;
-}
-
 // Returns the row of an exchange, or an invalid id when the exchange has ended. Messages for ended exchanges are counted.
 AdmissionId findAdmission(World &world, ExchangeHandle exchange)
 {
@@ -247,6 +241,7 @@
     Admission row;
     row.exchange_ = event.exchange_;
     row.offer_ = event.offer_;
+    row.backend_ = currentStart(world);
     row.classIndex_ = classIndex;
     row.isIdempotent_ = event.offer_.routed_ ? event.offer_.isIdempotent_ : requestClass.isIdempotent_;
     row.arrivedAt_ = world.now_;
@@ -633,14 +628,14 @@
     if (row == nullptr) {
         return;
     }
-    if (ranOnCurrentBackend(world, *row)) {
+    if (isForCurrentBackend(world, *row)) {
         recordLatency(world.admissions_.backend_, world.now_ - row->handedOverAt_);
         recordBackendLoad(world, event.load_);
         recordOutcome(world, event.status_ < FirstServerError);
         recordServiceTime(world, *row);
         recordResponseSize(world, *row, event.bodySize_);
+        recordShortestTime(world.admissions_.shortestServiceTimes_, row->offer_.class_, world.now_ - row->handedOverAt_);
     }
-    recordShortestTime(world.admissions_.shortestServiceTimes_, row->offer_.class_, world.now_ - row->handedOverAt_);
     clearSuspect(world, row->offer_.fingerprint_);
     const InstanceName sender = row->offer_.sender_;
     removeAdmission(world, id, ResultCode::Ok);
@@ -662,7 +657,7 @@
         failAdmission(world, id, world.now_ >= row->deadline_ ? ResultCode::DeadlineNotRun : ResultCode::Withdrawn);
         return;
     }
-    const bool isCurrentBackend = ranOnCurrentBackend(world, *row);
+    const bool isCurrentBackend = isForCurrentBackend(world, *row);
     if (isCurrentBackend) {
         recordOutcome(world, false);
     }
@@ -693,17 +688,18 @@
         }
         return;
     }
-    recordIdleConnectionLoss(world, event.connectionIdleTime_);
+    if (isCurrentBackend) {
+        recordIdleConnectionLoss(world, event.connectionIdleTime_);
+    }
     const bool isBesideSuspect = failedBesideSuspect(world, *row);
-    const std::uint64_t attempt = row->offer_.attempt_;
-    const Fingerprint fingerprint = row->offer_.fingerprint_;
+    const InterruptedRequest interrupted{event.exchange_, row->offer_.attempt_, row->offer_.fingerprint_, row->backend_, row->offer_.service_, isBesideSuspect};
     removeAdmission(world, id, ResultCode::BackendFailed);
     if (world.settings_.isRouted_) {
-        deferResultUntilCheck(world, InterruptedRequest{event.exchange_, attempt, fingerprint, isBesideSuspect});
+        deferResultUntilCheck(world, interrupted);
         return;
     }
     ++world.counters_.results_[ResultCode::BackendFailed];
-    markSuspect(world, fingerprint, isBesideSuspect, event.exchange_, attempt);
+    markSuspect(world, interrupted.fingerprint_, isBesideSuspect, event.exchange_, interrupted.attempt_);
 }
 
 void expireAdmission(World &world, std::uint64_t packedId)
@@ -770,6 +766,11 @@
 void handOver(World &world, AdmissionId id)
 {
     Admission &row = *world.admissions_.rows_.get(id);
+    const LocalBackend &backend = world.admissions_.backend_;
+    if (backend.state_ == BackendState::Absent || !isForCurrentBackend(world, row)) {
+        failAdmission(world, id, ResultCode::BackendNotReady);
+        return;
+    }
     if (isQuarantined(world, row.offer_.fingerprint_)) {
         failAdmission(world, id, ResultCode::Quarantined);
         return;
@@ -778,16 +779,13 @@
         failAdmission(world, id, ResultCode::BackendLimited);
         return;
     }
-    const LocalBackend &backend = world.admissions_.backend_;
     row.state_ = AdmissionState::Running;
     row.handedOverAt_ = world.now_;
-    row.backend_ = backend.id_;
-    row.backendIncarnation_ = backend.incarnation_;
     row.wasNearFullAtHandOver_ = isNearFull(world);
     row.slownessAtHandOver_ = backend.slowness_;
     logHandOver(world, row);
     world.counters_.add(Counter::HandedOver);
-    world.emit(HandOver{row.exchange_, backend.address_, currentStart(world), row.deadline_ - world.now_, maxReuseIdleTime(world)});
+    world.emit(HandOver{row.exchange_, backend.address_, row.backend_, row.deadline_ - world.now_, maxReuseIdleTime(world)});
 }
 
 void failAdmission(World &world, AdmissionId id, ResultCode code)
--- a/src/call/admission_table.h
+++ b/src/call/admission_table.h
@@ -17,6 +17,9 @@
     ExchangeHandle exchange_;
     std::uint64_t attempt_ = 0;
     Fingerprint fingerprint_;
+    // The start of the backend server that ran it, and its service.
+    BackendStart backend_;
+    ServiceName service_;
     // True when another suspect most likely caused the failure.
     bool isBesideSuspect_ = false;
 };
@@ -105,6 +108,8 @@
 struct CheckTable {
     // True while a check is in progress.
     bool running_ = false;
+    // Number of the latest check. A check that has timed out may still end, after another one began.
+    std::uint64_t number_ = 0;
     Millis startedAt_;
     // The start of the backend server that it is for.
     BackendStart backend_;
--- a/src/call/backend_cmd.cpp
+++ b/src/call/backend_cmd.cpp
@@ -2,6 +2,7 @@
 #include "call/admission_func.h"
 #include "call/backend_func.h"
 #include "call/backend_notice_func.h"
+#include "call/backend_succession_func.h"
 #include "call/request_limit_func.h"
 #include "fleet/gossip_func.h"
 #include "fleet/instance_func.h"
@@ -193,23 +194,8 @@
     const bool hasMoved = backend.service_ != event.service_ || backend.address_ != event.address_ || backend.slots_ != event.slots_;
     const bool hasRestarted = backend.incarnation_ != event.incarnation_ || backend.id_ != event.id_;
     if (hasMoved || hasRestarted) {
-        setBackendState(world, BackendState::Absent);
-        backend.service_ = event.service_;
-        backend.address_ = event.address_;
-        backend.slots_ = event.slots_;
-        backend.incarnation_ = event.incarnation_;
-        backend.latency_ = Millis();
-        backend.id_ = event.id_;
-        backend.namesCallers_ = true;
-        if (hasRestarted) {
-            resetNotices(world);
-        }
+        bindBackend(world, event);
         backend.isLeaving_ = backend.isLeaving_ || wasRecordedLeaving(world) || wasDeregistered(world, event.id_, event.incarnation_);
-        backend.slowness_ = Percent();
-        backend.baselineSlowness_ = 0;
-        backend.nearFullSamples_ = 0;
-        backend.nearFullSlownessSum_ = 0;
-        backend.failureShare_ = 0;
     }
     backend.sequence_ = event.sequence_;
     backend.announcedAt_ = world.now_;
--- a/src/call/backend_notice.cpp
+++ b/src/call/backend_notice.cpp
@@ -71,10 +71,6 @@
 
 void resetNotices(World &world)
 {
-    LocalBackend &backend = world.admissions_.backend_;
-    backend.isLeaving_ = false;
-    backend.isNoticeKnown_ = false;
-    backend.hasBeenChecked_ = false;
     const std::int32_t reserved = world.admissions_.limit_.reserved_;
     world.admissions_.limit_ = RequestLimitTable{};
     world.admissions_.limit_.reserved_ = reserved;
--- a/src/call/backend_notice_func.h
+++ b/src/call/backend_notice_func.h
@@ -18,7 +18,7 @@
 // True when the announced start of the server was recorded to leave before it was announced.
 bool wasRecordedLeaving(const World &world);
 
-// Forgets what the previous start of the server stated.
+// Forgets the request limit that the previous start of the server stated.
 void resetNotices(World &world);
 
 // True when a request must wait until the server has told whether it limits its requests or leaves. Starts the health check that asks it. Without a response to
--- a/src/call/backend_speed_system.cpp
+++ b/src/call/backend_speed_system.cpp
@@ -54,21 +54,23 @@
     CheckTable &checks = world.admissions_.checks_;
     const LocalBackend &backend = world.admissions_.backend_;
     checks.running_ = true;
+    ++checks.number_;
     checks.startedAt_ = world.now_;
     checks.backend_ = currentStart(world);
     checks.nextAt_ = Millis::never();
     world.counters_.add(Counter::BackendChecks);
-    world.emit(CheckBackendHealth{backend.address_, backend.incarnation_, findHealthPath(world.routes_, backend.service_)});
+    world.emit(CheckBackendHealth{backend.address_, checks.backend_, findHealthPath(world.routes_, backend.service_), checks.number_});
 }
 
-// Ends the requests whose result depended on whether the backend server crashed.
+// Ends the requests whose result depended on whether their backend server crashed. The check tells of the current one; an earlier one has ended.
 void endInterrupted(World &world, bool isServerUp)
 {
     const std::vector<InterruptedRequest> interrupted = std::exchange(world.admissions_.checks_.interrupted_, {});
     for (const InterruptedRequest &request : interrupted) {
-        const ResultCode code = isServerUp ? ResultCode::AnswerLost : ResultCode::BackendFailed;
+        const bool isUp = isServerUp && request.backend_ == currentStart(world);
+        const ResultCode code = isUp ? ResultCode::AnswerLost : ResultCode::BackendFailed;
         ++world.counters_.results_[code];
-        if (isServerUp) {
+        if (isUp) {
             world.emit(FailExchange{request.exchange_, ExchangeFailure{request.attempt_, numberOf(code)}});
         } else {
             markSuspect(world, request.fingerprint_, request.isBesideSuspect_, request.exchange_, request.attempt_);
@@ -242,20 +244,33 @@
 {
     CheckTable &checks = world.admissions_.checks_;
     LocalBackend &backend = world.admissions_.backend_;
+    if (!checks.running_ || event.number_ != checks.number_) {
+        world.counters_.add(Counter::LateMessages);
+        return;
+    }
     checks.running_ = false;
-    backend.hasBeenChecked_ = backend.hasBeenChecked_ || checks.backend_ == currentStart(world);
-    const bool isSameServer = event.ok_ && (backend.id_.value().empty() || event.id_ == backend.id_);
-    endInterrupted(world, isSameServer);
+    // The check of an earlier start tells nothing about the current one.
+    const bool isOfCurrent = checks.backend_ == currentStart(world);
+    const bool namesServer = !backend.id_.value().empty() && !event.id_.value().empty();
+    const bool isUp = isOfCurrent && (namesServer ? event.id_ == backend.id_ : event.ok_ && backend.id_.value().empty());
+    backend.hasBeenChecked_ = backend.hasBeenChecked_ || isOfCurrent;
+    if (isOfCurrent && namesServer && !isUp) {
+        // The address belongs to another server; only a newer announcement binds it again.
+        setBackendState(world, BackendState::Absent);
+    }
+    endInterrupted(world, isUp);
     checks.interrupted_ = std::exchange(checks.interruptedSinceCheck_, {});
     if (!checks.interrupted_.empty()) {
         decideInterrupted(world);
     }
-    if (isSameServer) {
+    if (isUp && event.ok_) {
         recordBackendLoad(world, event.load_);
         checks.lacksLoad_ = event.load_.slowness_ == Percent();
     }
-    // Without a load report the speed counts as normal for a while, instead of blocking requests.
-    world.admissions_.backend_.slownessAt_ = world.now_;
+    if (isOfCurrent) {
+        // Without a load report the speed counts as normal for a while, instead of blocking requests.
+        backend.slownessAt_ = world.now_;
+    }
 }
 
 void recordBackendLoad(World &world, const BackendLoad &load)
@@ -275,7 +290,7 @@
 {
     CheckTable &checks = world.admissions_.checks_;
     if (checks.running_ && world.now_ - checks.startedAt_ >= CheckTimeout) {
-        handle(world, BackendChecked{});
+        handle(world, BackendChecked{checks.number_, false, {}, {}});
     }
     if (world.now_ >= checks.nextAt_) {
         checks.nextAt_ = Millis::never();
--- a/src/call/call_base.h
+++ b/src/call/call_base.h
@@ -113,9 +113,8 @@
     Millis arrivedAt_;
     Millis deadline_;
     Millis handedOverAt_;
-    // The backend server that it was handed over to.
-    BackendId backend_;
-    Incarnation backendIncarnation_;
+    // The start of the backend server that was ready when the offer arrived. No other one may run the request.
+    BackendStart backend_;
     // Service time that the backend server reported before hand-over, as a percentage of its usual one; zero when unknown.
     Percent slownessAtHandOver_;
     // Expected size of the response; zero while no slot is held.
--- a/src/net/backend_client.cpp
+++ b/src/net/backend_client.cpp
@@ -154,13 +154,14 @@
     asio::co_spawn(worldRunner_.context(), runCheck(effect), asio::detached);
 }
 
-Task<> BackendClient::runRequest(RequestPtr request, Address backend)
+Task<> BackendClient::runRequest(RequestPtr request, Address address)
 {
+    const Target target{address, BackendStart{request->requestContext_.id_, request->incarnation_}};
     if (isWithdrawn(*request)) {
         worldRunner_.post(BackendFailed{request->exchange_, BackendFault::NotSent, {}});
         co_return;
     }
-    const AcquiredConnection acquired = co_await acquireConnection(backend, request->maxReuseIdleTime_);
+    const AcquiredConnection acquired = co_await acquireConnection(target, request->maxReuseIdleTime_);
     const StreamPtr stream = acquired.stream_;
     request->requestContext_.remaining_ = request->deadline_ - WorldRunner::now();
     if (!stream) {
@@ -179,7 +180,7 @@
     const ResponseResult result = co_await readResponse(*request, acquired);
     request->stream_.reset();
     if (result.complete_ && result.reusable_ && request->requestWritten_) {
-        returnToPool(backend, stream, result.keepAliveTime_);
+        returnToPool(target, stream, result.keepAliveTime_);
     } else {
         stream->close();
     }
@@ -196,8 +197,10 @@
 Task<> BackendClient::runCheck(CheckBackendHealth effect)
 {
     BackendChecked event;
+    event.number_ = effect.number_;
     const Millis startedAt = WorldRunner::now();
-    const AcquiredConnection acquired = co_await acquireConnection(effect.address_, Millis::never());
+    const Target target{effect.address_, effect.backend_};
+    const AcquiredConnection acquired = co_await acquireConnection(target, Millis::never());
     const StreamPtr stream = acquired.stream_;
     if (stream) {
         error_code errorCode;
@@ -218,22 +221,22 @@
             event.id_ = adapter_.readBackendId(parser.get());
             event.load_ = adapter_.readLoad(parser.get());
             if (!event.id_.value().empty()) {
-                const BackendStart answering{event.id_, effect.incarnation_};
+                const BackendStart answering{event.id_, effect.backend_.incarnation_};
                 worldRunner_.post(BackendStated{answering, startedAt, head.startedAt_, adapter_.readNotice(parser.get())});
             }
             const bool isReusable = co_await skipBody(*stream, buffer, parser) && parser.keep_alive() && buffer.size() == 0 && !head.hasSkippedResponse_;
             stream->expires_never();
-            returnToPool(effect.address_, stream, isReusable ? readKeepAliveTime(parser.get()) : Millis());
+            returnToPool(target, stream, isReusable ? readKeepAliveTime(parser.get()) : Millis());
         }
     }
     worldRunner_.post(event);
 }
 
-Task<BackendClient::AcquiredConnection> BackendClient::acquireConnection(Address backend, Millis maxIdleTime)
+Task<BackendClient::AcquiredConnection> BackendClient::acquireConnection(Target target, Millis maxIdleTime)
 {
-    if (poolAddress_ != backend) {
+    if (poolTarget_ != target) {
         idleConnections_.clear();
-        poolAddress_ = backend;
+        poolTarget_ = target;
     }
     while (!idleConnections_.empty()) {
         const IdleConnection connection = idleConnections_.back();
@@ -249,7 +252,7 @@
     const auto stream = std::make_shared<beast::tcp_stream>(worldRunner_.context());
     stream->expires_after(ConnectTimeout);
     error_code errorCode;
-    co_await stream->async_connect(toEndpoint<tcp>(backend), asio::redirect_error(asio::use_awaitable, errorCode));
+    co_await stream->async_connect(toEndpoint<tcp>(target.address_), asio::redirect_error(asio::use_awaitable, errorCode));
     stream->expires_never();
     if (errorCode) {
         co_return AcquiredConnection{nullptr, Millis(), false};
@@ -259,9 +262,9 @@
     co_return AcquiredConnection{stream, Millis(), false};
 }
 
-void BackendClient::returnToPool(const Address &backend, const StreamPtr &stream, Millis keepAliveTime)
+void BackendClient::returnToPool(const Target &target, const StreamPtr &stream, Millis keepAliveTime)
 {
-    if (keepAliveTime > Millis() && idleConnections_.size() < MaxIdleConnections && poolAddress_ == backend) {
+    if (keepAliveTime > Millis() && idleConnections_.size() < MaxIdleConnections && poolTarget_ == target) {
         idleConnections_.push_back(IdleConnection{stream, WorldRunner::now() + keepAliveTime, WorldRunner::now()});
         watchIdle(stream);
     }
--- a/src/net/backend_client.h
+++ b/src/net/backend_client.h
@@ -96,7 +96,7 @@
     };
 
     // Runs one request from connecting to the posted event.
-    Task<> runRequest(RequestPtr request, Address backend);
+    Task<> runRequest(RequestPtr request, Address address);
 
     // Runs one health check.
     Task<> runCheck(CheckBackendHealth effect);
@@ -110,11 +110,18 @@
         bool isReused_ = false;
     };
 
-    // Takes a usable connection from the pool, or opens a new one. Empties the pool when the address has changed.
-    Task<AcquiredConnection> acquireConnection(Address backend, Millis maxIdleTime);
+    // One start of a backend server at its address.
+    struct Target {
+        Address address_;
+        BackendStart backend_;
+        bool operator==(const Target &) const = default;
+    };
+
+    // Takes a usable connection from the pool, or opens a new one. Empties the pool when the address or the start has changed.
+    Task<AcquiredConnection> acquireConnection(Target target, Millis maxIdleTime);
 
-    // Returns a connection to the pool. Does nothing when the pool is full, the address has changed or the time is zero.
-    void returnToPool(const Address &backend, const StreamPtr &stream, Millis keepAliveTime);
+    // Returns a connection to the pool. Does nothing when the pool is full, the address or the start has changed, or the time is zero.
+    void returnToPool(const Target &target, const StreamPtr &stream, Millis keepAliveTime);
 
     // Closes a pooled connection as soon as the backend server closes it or sends bytes that no request asked for.
     void watchIdle(const StreamPtr &stream);
@@ -142,8 +149,8 @@
 
     WorldRunner &worldRunner_;
     const BackendAdapter &adapter_;
-    // Address that the pooled connections lead to.
-    Address poolAddress_;
+    // The start of the backend server that the pooled connections lead to.
+    Target poolTarget_;
     std::vector<IdleConnection> idleConnections_;
 };
 
--- a/src/world/effect_type.h
+++ b/src/world/effect_type.h
@@ -88,9 +88,11 @@
 // Check the health and load of the backend server over HTTP.
 struct CheckBackendHealth {
     Address address_;
-    // Start number of the backend server that is announced for the address.
-    Incarnation incarnation_;
+    // The start of the backend server that is announced for the address.
+    BackendStart backend_;
     std::string path_;
+    // Number of the check, which its result repeats.
+    std::uint64_t number_ = 0;
 };
 
 // End an exchange without a response.
--- a/src/world/event_type.h
+++ b/src/world/event_type.h
@@ -203,6 +203,9 @@
 
 // A health check of the backend server succeeded or failed.
 struct BackendChecked {
+    // Number of the check.
+    std::uint64_t number_ = 0;
+    // True when the backend server is healthy. One that leaves or is not healthy may respond all the same.
     bool ok_ = false;
     // Id of the backend server that responded.
     BackendId id_;
--- a/test/backend_test.cpp
+++ b/test/backend_test.cpp
@@ -23,19 +23,34 @@
     }
 
     // Announces a backend server.
-    void announce(const char *id, std::uint64_t start, std::uint64_t sequence, BackendState state = BackendState::Ready)
+    void announce(const char *id, std::uint64_t start, std::uint64_t sequence, BackendState state = BackendState::Ready, const char *service = "booking")
     {
         BackendAnnounced event;
-        event.service_ = ServiceName("booking");
+        event.service_ = ServiceName(service);
         event.address_ = fleet_.instances_[0].settings_.backendAddress_;
         event.slots_ = Slots(4);
         event.state_ = state;
         event.incarnation_ = Incarnation(start);
         event.id_ = BackendId(id);
         event.sequence_ = sequence;
+        fleet_.instances_[0].backendId_ = event.id_;
         fleet_.post(0, event);
     }
 
+    // Offers a request of a service to the daemon. Its body follows only when the test sends it.
+    void offer(ExchangeHandle exchange, bool isBodyInline)
+    {
+        Offer offer;
+        offer.attempt_ = exchange.value();
+        offer.service_ = ServiceName("booking");
+        offer.class_ = ClassName("write");
+        offer.remaining_ = Millis(1000);
+        offer.sentAt_ = fleet_.now();
+        offer.routed_ = true;
+        offer.isBodyInline_ = isBodyInline;
+        fleet_.post(0, OfferArrived{exchange, offer});
+    }
+
     [[nodiscard]] BackendState state()
     {
         return fleet_.world(0).admissions_.backend_.state_;
@@ -172,3 +187,68 @@
     fleet.runFor(Millis(500));
     BOOST_TEST(isSuspect(world, fingerprint));
 }
+
+// Guards against a request that waits while its server is replaced, and is then run by the successor at the address (review/6).
+BOOST_AUTO_TEST_CASE(a_request_runs_only_on_the_start_for_which_it_was_accepted)
+{
+    struct Wait {
+        const char *description_;
+        bool isBodyInline_;
+        bool isCheckLost_;
+    };
+    struct Successor {
+        const char *id_;
+        const char *service_;
+    };
+    constexpr ExchangeHandle Exchange(900);
+    for (const Wait &wait : {Wait{"confirmation", false, false}, Wait{"body", true, false}, Wait{"health check", false, true}}) {
+        for (const Successor &successor : {Successor{"b", "billing"}, Successor{"b", "booking"}, Successor{"a", "booking"}}) {
+            BackendFixture fixture;
+            fixture.announce("a", 5000000, 1);
+            fixture.fleet_.ignoresChecks_ = [&](std::size_t) { return wait.isCheckLost_; };
+            int handOvers = 0;
+            std::vector<std::uint16_t> failures;
+            fixture.fleet_.effectObserver_ = [&](std::size_t, const Effect &effect) {
+                handOvers += std::holds_alternative<HandOver>(effect) ? 1 : 0;
+                if (const auto *failure = std::get_if<FailExchange>(&effect)) {
+                    failures.push_back(failure->reply_.code_);
+                }
+            };
+            fixture.offer(Exchange, wait.isBodyInline_);
+            fixture.fleet_.runFor(Millis(30));
+            fixture.announce(successor.id_, 6000000, 1, BackendState::Ready, successor.service_);
+            fixture.fleet_.post(0, ConfirmationArrived{Exchange});
+            fixture.fleet_.post(0, BodyArrived{Exchange});
+            fixture.fleet_.runFor(Millis(100));
+            const std::string name = std::string(wait.description_) + ", then " + successor.id_ + " of " + successor.service_;
+            BOOST_TEST(handOvers == 0, name);
+            BOOST_REQUIRE_MESSAGE(failures.size() == 1U, name);
+            BOOST_TEST(provesNotRun(static_cast<ResultCode>(failures.front())), name);
+        }
+    }
+}
+
+// Guards against an order for a server that has ended, although a health check was answered by another one at its address (review/6).
+BOOST_AUTO_TEST_CASE(a_health_check_that_another_server_answers_clears_the_binding)
+{
+    BackendFixture fixture;
+    fixture.announce("a", 5000000, 1);
+    fixture.fleet_.instances_[0].backendId_ = BackendId("b");
+    fixture.offer(ExchangeHandle(901), true);
+    fixture.fleet_.post(0, BodyArrived{ExchangeHandle(901)});
+    fixture.fleet_.runFor(Millis(100));
+    BOOST_TEST((fixture.state() == BackendState::Absent));
+    BOOST_TEST(fixture.fleet_.instances_[0].handOverTimes_.empty());
+}
+
+// Guards against a health check of an earlier start whose late answer makes the next server absent, or tells its speed.
+BOOST_AUTO_TEST_CASE(a_check_of_an_earlier_start_tells_nothing_about_the_next_one)
+{
+    BackendFixture fixture;
+    fixture.announce("a", 5000000, 1);
+    fixture.offer(ExchangeHandle(902), true);
+    fixture.announce("b", 6000000, 1);
+    fixture.fleet_.post(0, BackendChecked{fixture.fleet_.world(0).admissions_.checks_.number_, true, BackendId("a"), {{}, {}, {}, Percent(400)}});
+    BOOST_TEST((fixture.state() == BackendState::Ready));
+    BOOST_TEST((fixture.fleet_.world(0).admissions_.backend_.slownessAt_ == Millis()));
+}
--- a/test/fake/fake_effects.cpp
+++ b/test/fake/fake_effects.cpp
@@ -118,7 +118,10 @@
 void FakeFleet::apply(std::size_t index, const HandOver &effect)
 {
     instances_[index].handOverTimes_.push_back(now_);
-    runRequest(index, byHandle_[{index, effect.exchange_}], effect.backend_);
+    // Tests may offer requests of their own, which no instance has sent.
+    if (const ExchangePtr exchange = byHandle_[{index, effect.exchange_}]) {
+        runRequest(index, exchange, effect.backend_);
+    }
 }
 
 void FakeFleet::apply(std::size_t index, const FailExchange &effect)
@@ -192,13 +195,14 @@
     }
     const int generation = instance.generation_;
     BackendChecked event;
+    event.number_ = effect.number_;
     event.ok_ = instance.backendRuns_;
-    event.id_ = backendIdOf(index);
+    event.id_ = instance.backendRuns_ ? backendIdOf(index) : BackendId();
     event.load_ = BackendLoad{Slots(instance.running_), Slots(), Slots(instance.slots_), Percent(slownessOf(index))};
     if (instance.backendRuns_) {
         ++healthChecks_;
     }
-    const BackendStart backend{event.id_, effect.incarnation_};
+    const BackendStart backend{event.id_, effect.backend_.incarnation_};
     at(now_ + CheckDuration, [this, index, generation, event, backend, askedAt = now_]() {
         if (event.ok_) {
             deliverNotice(index, generation, backend, askedAt);
--- a/test/fake/fake_fleet.cpp
+++ b/test/fake/fake_fleet.cpp
@@ -297,7 +297,8 @@
 
 BackendId FakeFleet::backendIdOf(std::size_t index) const
 {
-    return BackendId("b" + std::to_string(index) + "-" + std::to_string(instances_[index].backendGeneration_));
+    const BackendId &set = instances_[index].backendId_;
+    return !set.value().empty() ? set : BackendId("b" + std::to_string(index) + "-" + std::to_string(instances_[index].backendGeneration_));
 }
 
 bool FakeFleet::sameRegion(std::size_t first, std::size_t second)
--- a/test/fake/fake_fleet.h
+++ b/test/fake/fake_fleet.h
@@ -89,6 +89,8 @@
     std::uint64_t announcementCount_ = 0;
     // Incremented at each failure of the backend server.
     int backendGeneration_ = 0;
+    // Id of the backend server; empty when it follows from its generation.
+    BackendId backendId_;
     // When the network link has sent all earlier responses.
     Millis linkFreeAt_;
     // Time of each hand-over to the backend server.
