A request is named by its caller too, and by the start of a streamed body

Cause: fingerprints covered method, target and body, not the caller, so that the complete answer to one request cleared the other. A streamed body was named by its length alone.

Ruled out: lost notices. No daemon is disturbed in the case, and the failures are cleared by notices that arrive.

Change: fingerprintOf() covers the caller's service, as decided when the request began. Of a streamed body, which is known only at its end, the length and the first 512 KiB count, and an answer clears nothing. Building offers moves from attempt_cmd.cpp to offer.cpp.

--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -636,7 +636,9 @@
         recordResponseSize(world, *row, event.bodySize_);
         recordShortestTime(world.admissions_.shortestServiceTimes_, row->offer_.class_, world.now_ - row->handedOverAt_);
     }
-    clearSuspect(world, row->offer_.fingerprint_);
+    if (!row->offer_.isFingerprintPartial_) {
+        clearSuspect(world, row->offer_.fingerprint_);
+    }
     const InstanceName sender = row->offer_.sender_;
     removeAdmission(world, id, ResultCode::Ok);
     world.emit(EndExchange{event.exchange_, world.settings_.isRouted_ ? currentLoadReport(world) : loadReportFor(world, sender)});
--- a/src/call/attempt_cmd.cpp
+++ b/src/call/attempt_cmd.cpp
@@ -2,6 +2,7 @@
 #include "call/attempt_func.h"
 #include "call/call_func.h"
 #include "call/load_shedding_func.h"
+#include "call/offer_func.h"
 #include "call/suspect_func.h"
 #include "fleet/instance_func.h"
 #include "measure/selection_func.h"
@@ -303,38 +304,6 @@
     return report.slowness_ >= SlowReport && report.inFlight_ < report.limit_;
 }
 
-// Builds the offer of an attempt.
-Offer makeOffer(World &world, const Call &call, CallId callId, AttemptId id)
-{
-    const Attempt &attempt = *world.calls_.attempts_.get(id);
-    Offer offer;
-    offer.attempt_ = id.packed();
-    offer.sender_ = world.settings_.name_;
-    // The call token is only needed to claim an idempotency key.
-    offer.callToken_ = call.key_.empty()
-        ? std::string()
-        : world.settings_.name_.value() + ":" + std::to_string(world.settings_.incarnation_.value()) + ":" + std::to_string(callId.packed());
-    offer.service_ = call.service_;
-    offer.class_ = call.class_;
-    offer.remaining_ = call.deadline_ - world.now_;
-    offer.sentAt_ = world.now_;
-    offer.fingerprint_ = call.fingerprint_;
-    offer.key_ = call.key_;
-    offer.routed_ = call.routed_;
-    offer.isIdempotent_ = call.isIdempotent_;
-    offer.priority_ = call.priority_;
-    offer.latencyTargetRemaining_ = call.latencyTargetDeadline_ - world.now_;
-    offer.isBodyInline_ = attempt.sentBodyInline_;
-    offer.requiresWholeBody_ = call.requiresWholeBody_;
-    offer.isFromBackend_ = call.isFromBackend_;
-    if (const Instance *instance = world.fleet_.rows_.get(attempt.instance_)) {
-        offer.leavingBackend_ = instance->leavingBackend_;
-    }
-    offer.trace_ = call.trace_;
-    offer.parentSpan_ = attempt.span_;
-    return offer;
-}
-
 } // namespace
 
 std::int32_t backendsPossiblyReached(const World &world, const Call &call)
--- a/src/call/exchange_type.h
+++ b/src/call/exchange_type.h
@@ -32,8 +32,10 @@
     Millis remaining_;
     // When the offer was made, by the clock of the outbound side.
     Millis sentAt_;
-    // Hash of the method, the target and the body, or of the body's length when it is streamed.
+    // Hash of the caller, the method, the target and the body.
     Fingerprint fingerprint_;
+    // True when it covers only the length and the first part of a streamed body.
+    bool isFingerprintPartial_ = false;
     // Idempotency key, or empty.
     std::string key_;
     // True when the call matched a route of the desired state: isIdempotent_, priority_ and latencyTargetRemaining_ apply, and the inbound
--- a/src/core/units_type.h
+++ b/src/core/units_type.h
@@ -50,7 +50,7 @@
 // Revision of the platform's store; increases with each change.
 using StoreRevision = StrongType<struct StoreRevisionTag, std::uint64_t>;
 
-// Hash of a request's method, target and body.
+// Hash of a request's caller, method, target and body.
 using Fingerprint = StrongType<struct FingerprintTag, std::uint64_t>;
 // Hash of one start of a backend server, by which messages name it; zero names none.
 using BackendStartHash = StrongType<struct BackendStartHashTag, std::uint64_t>;
--- a/src/net/caller_request.h
+++ b/src/net/caller_request.h
@@ -112,7 +112,7 @@
     // True once a response was written to its end.
     [[nodiscard]] bool isAnswered() const;
 
-    // The complete body, when isBuffered() is true.
+    // The complete body when isBuffered() is true, otherwise its first part as far as it was buffered.
     [[nodiscard]] const std::string &bufferedBody() const;
 
     // True when the complete body is in memory.
--- a/src/net/caller_server.cpp
+++ b/src/net/caller_server.cpp
@@ -3,11 +3,11 @@
 
 #include "call/call_func.h"
 #include "call/load_shedding_func.h"
-#include "core/hash.h"
 #include "net/accept_loop.h"
 #include "net/message_framing.h"
 #include "net/peer_socket.h"
 #include "net/peer_state.h"
+#include "net/request_fingerprint.h"
 #include "net/socket_options.h"
 #include "net/trace_context.h"
 #include "world/shutdown_func.h"
@@ -23,8 +23,6 @@
 constexpr std::size_t HeaderReadBytes = 4096;
 // Maximum number of bytes that are buffered beyond the limit of the head, while the chunk framing of a body is incomplete.
 constexpr std::size_t MaxBufferedBytes = std::size_t{32} << 10U;
-// Bodies that may be streamed are buffered up to this size, so that they can be sent again by a retry.
-constexpr std::uint64_t MaxReplayableBodyBytes = std::uint64_t{512} << 10U;
 // Bodies up to this size are sent together with the offer.
 constexpr std::uint64_t MaxInlineBodyBytes = std::uint64_t{64} << 10U;
 
@@ -52,14 +50,6 @@
     return generator();
 }
 
-// Hash of a request's method, target and body. For a streamed body its length is hashed instead.
-Fingerprint fingerprintOf(const RequestHead &head, const CallerRequest &request)
-{
-    const std::uint64_t line = hashBytes(head.method_ + " " + head.target_);
-    const std::string length = std::to_string(head.length_);
-    return Fingerprint(hashBytes(request.isBuffered() ? std::string_view(request.bufferedBody()) : std::string_view(length), line));
-}
-
 // The bytes that were read and not yet parsed.
 std::string_view unparsedBytes(const beast::flat_buffer &buffer)
 {
@@ -101,7 +91,7 @@
     event.isReplayable_ = request.isBuffered();
     event.canInlineBody_ = request.isBuffered() && request.bufferedBody().size() <= MaxInlineBodyBytes;
     event.bodySize_ = Bytes(static_cast<std::int64_t>(head.length_));
-    event.fingerprint_ = fingerprintOf(head, request);
+    event.fingerprint_ = fingerprintOf(head, event.callerService_, request.bufferedBody(), request.isBuffered());
     if (!event.trace_.value().empty()) {
         return;
     }
--- a/src/wire/serialize.h
+++ b/src/wire/serialize.h
@@ -282,7 +282,7 @@
     serializeAll(archive, value.attempt_, value.sender_, value.callToken_, value.service_, value.class_, value.remaining_, value.fingerprint_);
     serializeAll(archive, value.key_, value.routed_, value.isIdempotent_, value.priority_, value.latencyTargetRemaining_);
     serializeAll(archive, value.isBodyInline_, value.requiresWholeBody_, value.trace_, value.parentSpan_, value.sentAt_);
-    serializeAll(archive, value.isFromBackend_, value.leavingBackend_);
+    serializeAll(archive, value.isFromBackend_, value.leavingBackend_, value.isFingerprintPartial_);
 }
 
 template<typename Archive>
