Daemons compare suspects, and keep quarantines in the store

Cause: failures and clearings were told once, to the daemons of the service at that moment, and kept in memory only. A daemon that starts, joins or was cut learned nothing, and a late notice revived what had been cleared.

Ruled out: a daemon frozen for 4 s holds, since the notices wait in its socket (its row of the test passed before).

Change: a record of a suspect is a set of failures, named by the start of the server that failed, with flags that are only ever set, so that records merge in any order. Heartbeats carry a hash of the suspects; daemons whose hashes differ exchange records, bounded in rows and bytes. One daemon writes a row of the store for each quarantine and deletes it at its end; the rows are read with the list of daemons. An operator's quarantine is kept apart and never ended by an answer. Notices go to the daemons of the service that ran the request, not of the one bound when the check ends.

The notices in suspect_test and codec_test have the new form; what they check is unchanged.

--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -5,6 +5,7 @@
 #include "call/backend_speed_func.h"
 #include "call/backend_succession_func.h"
 #include "call/connection_reuse_func.h"
+#include "call/interrupted_request_func.h"
 #include "call/link_load_func.h"
 #include "call/load_shedding_func.h"
 #include "call/request_limit_func.h"
@@ -23,8 +24,6 @@
 
 namespace {
 
-// A request whose connection closes within this time after that of a suspect counts as part of the same failure.
-constexpr Millis SuspectFailureWindow{1000};
 // An admitted request releases its slot when its confirmation and its head do not arrive within this time.
 constexpr Millis ConfirmationTimeout{400};
 // A routed offer that took longer than this to arrive needs a confirmation, since its caller may have left meanwhile.
@@ -521,19 +520,6 @@
     }
 }
 
-// True when a request that is not a suspect failed together with a suspect: the suspect most likely caused the failure. Also records when a
-// suspect failed.
-bool failedBesideSuspect(World &world, const Admission &row)
-{
-    AdmissionTable &table = world.admissions_;
-    if (row.wasSuspectAtStart_) {
-        table.suspectFailedAt_ = world.now_;
-        return false;
-    }
-    const bool suspectJustFailed = table.suspectFailedAt_ != Millis() && world.now_ - table.suspectFailedAt_ < SuspectFailureWindow;
-    return table.suspectsHoldingSlots_ > 0 || suspectJustFailed;
-}
-
 } // namespace
 
 void handle(World &world, const OfferArrived &event)
@@ -636,9 +622,7 @@
         recordResponseSize(world, *row, event.bodySize_);
         recordShortestTime(world.admissions_.shortestServiceTimes_, row->offer_.class_, world.now_ - row->handedOverAt_);
     }
-    if (!row->offer_.isFingerprintPartial_) {
-        clearSuspect(world, row->offer_.fingerprint_);
-    }
+    clearSuspect(world, row->offer_);
     const InstanceName sender = row->offer_.sender_;
     removeAdmission(world, id, ResultCode::Ok);
     world.emit(EndExchange{event.exchange_, world.settings_.isRouted_ ? currentLoadReport(world) : loadReportFor(world, sender)});
@@ -693,15 +677,14 @@
     if (isCurrentBackend) {
         recordIdleConnectionLoss(world, event.connectionIdleTime_);
     }
-    const bool isBesideSuspect = failedBesideSuspect(world, *row);
-    const InterruptedRequest interrupted{event.exchange_, row->offer_.attempt_, row->offer_.fingerprint_, row->backend_, row->offer_.service_, isBesideSuspect};
+    const InterruptedRequest interrupted = interruptRequest(world, *row);
     removeAdmission(world, id, ResultCode::BackendFailed);
     if (world.settings_.isRouted_) {
         deferResultUntilCheck(world, interrupted);
         return;
     }
     ++world.counters_.results_[ResultCode::BackendFailed];
-    markSuspect(world, interrupted.fingerprint_, isBesideSuspect, event.exchange_, interrupted.attempt_);
+    markSuspect(world, interrupted);
 }
 
 void expireAdmission(World &world, std::uint64_t packedId)
--- a/src/call/admission_table.h
+++ b/src/call/admission_table.h
@@ -22,6 +22,8 @@
     ServiceName service_;
     // True when another suspect most likely caused the failure.
     bool isBesideSuspect_ = false;
+    // True when the request was a suspect before it ran.
+    bool wasSuspectAtStart_ = false;
 };
 
 // The local backend server, as it announced itself, and what was learned about it since.
--- a/src/call/backend_speed_system.cpp
+++ b/src/call/backend_speed_system.cpp
@@ -73,7 +73,7 @@
         if (isUp) {
             world.emit(FailExchange{request.exchange_, ExchangeFailure{request.attempt_, numberOf(code)}});
         } else {
-            markSuspect(world, request.fingerprint_, request.isBesideSuspect_, request.exchange_, request.attempt_);
+            markSuspect(world, request);
         }
     }
 }
--- a/src/call/suspect_base.h
+++ b/src/call/suspect_base.h
@@ -2,11 +2,11 @@
 #pragma once
 
 #include "call/call_type.h"
+#include "call/suspect_type.h"
 #include "core/clock_type.h"
 #include "core/units_type.h"
 #include "fleet/instance_type.h"
 
-#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -14,12 +14,13 @@
 
 // A request that may have crashed a backend server.
 struct Suspect {
-    // Random ids, one for each time that a backend server failure was counted against the request. They are merged by set union, so that
-    // concurrent failures on several daemons all count.
-    std::set<std::uint64_t> failures_;
-    // True when an operator quarantined it.
+    // Sorted by id. Cleared ones are kept until they expire, so that a late record of them has no effect.
+    std::vector<SuspectFailure> failures_;
+    // True when an operator quarantined it; only an operator ends this.
     bool isQuarantinedByOperator_ = false;
-    // The row is removed after this time.
+    // True once the store holds its quarantine.
+    bool isStored_ = false;
+    // The failures are forgotten after this time.
     Millis expiresAt_;
 };
 
--- a/src/call/suspect_system.cpp
+++ b/src/call/suspect_system.cpp
@@ -2,63 +2,95 @@
 // repeated failures. Not related to Health::Suspect, which is the state of an instance.
 #include "call/admission_func.h"
 #include "call/suspect_func.h"
+#include "call/suspect_merge_func.h"
 #include "fleet/instance_func.h"
+#include "store/quarantine_store_func.h"
 #include "ticket/ticket_func.h"
 #include "world/world.h"
 
 #include <algorithm>
 #include <charconv>
+#include <tuple>
 
 namespace radishford {
 
 namespace {
 
-// Failures after which a request is quarantined. In a routed deployment, requests to one path resemble each other, so one
-// more failure is needed.
-constexpr std::size_t QuarantineFailures = 2;
-constexpr std::size_t RoutedQuarantineFailures = 3;
+// Maximum number of suspects that are known at a time.
+constexpr std::size_t MaxSuspects = 512;
 // Time between resends of a notice, and the maximum number of sends.
 constexpr Millis ResendInterval{40};
 constexpr std::int32_t MaxSends = 5;
 // Time between purges of expired rows.
 constexpr Millis PurgeInterval{1000};
-// How long a suspect is remembered when the ticket sets no quarantine time.
+// Records that are forgotten this soon are not merged: daemons that forget them at slightly different times would return them to each other.
+constexpr Millis MinMergedTime{5000};
+// How long a suspect is remembered when the ticket sets no quarantine time, and the maximum that another daemon may state.
 constexpr Millis DefaultSuspectDuration{600000};
+constexpr Millis MaxSuspectDuration{86400000};
 constexpr int HexBase = 16;
 
-// Returns the number of failures after which a request is quarantined.
-std::size_t quarantineThreshold(const World &world)
+// Returns the policy of the deployment.
+const QuarantinePolicy &quarantinePolicy(const World &world)
 {
-    return world.settings_.isRouted_ ? RoutedQuarantineFailures : QuarantineFailures;
+    return world.settings_.isRouted_ ? RoutedPolicy : NativePolicy;
 }
 
-// Returns how long a suspect is remembered after its latest failure.
-Millis suspectDuration(const World &world)
+// True when a suspect's failures lead to quarantine now.
+bool isQuarantinedByFailures(const World &world, const Suspect &suspect)
 {
-    const ServiceSpec *spec = findService(world, world.admissions_.backend_.service_);
-    return spec == nullptr || spec->quarantine_ == Millis() ? DefaultSuspectDuration : spec->quarantine_;
+    return world.now_ < suspect.expiresAt_ && isOverThreshold(suspect, quarantinePolicy(world));
 }
 
-// Adds a failure to a suspect. Repeated and late notices have no effect, since failure ids form a set.
-void addFailure(World &world, Fingerprint fingerprint, std::uint64_t failureId)
+// Returns the id of the failure of a start of the backend server. A start without an id may close a connection and go on, so each of its failures counts.
+FailureId failureIdOf(World &world, const BackendStart &backend)
 {
-    Suspect &suspect = world.suspects_.rows_[fingerprint];
-    const bool isBelowThreshold = suspect.failures_.size() < quarantineThreshold(world);
-    if (!isBelowThreshold || !suspect.failures_.insert(failureId).second) {
-        return;
+    const BackendStartHash start = hashOf(backend);
+    return FailureId(start == BackendStartHash() ? world.random_.bits64() : start.value());
+}
+
+// Makes room for a further suspect by removing one that matters least: cleared, with few failures, or close to its end. Those of operators stay.
+void removeOneSuspect(World &world)
+{
+    const auto worth = [&](const auto &entry) {
+        const Suspect &suspect = entry.second;
+        return std::tuple(suspect.isQuarantinedByOperator_, isQuarantinedByFailures(world, suspect), hasOpenFailure(suspect), suspect.failures_.size(),
+                          suspect.expiresAt_);
+    };
+    auto &rows = world.suspects_.rows_;
+    const auto least = std::min_element(rows.begin(), rows.end(), [&](const auto &first, const auto &second) { return worth(first) < worth(second); });
+    if (!least->second.isQuarantinedByOperator_) {
+        rows.erase(least);
     }
-    suspect.expiresAt_ = world.now_ + suspectDuration(world);
-    if (suspect.failures_.size() >= quarantineThreshold(world)) {
-        std::string text = "request quarantined: fingerprint ";
-        text += std::to_string(fingerprint.value());
-        world.emit(LogStateChange{std::move(text)});
+}
+
+// Returns the row of a suspect, which is added if it is not known.
+Suspect &suspectRow(World &world, Fingerprint fingerprint)
+{
+    auto &rows = world.suspects_.rows_;
+    if (!rows.contains(fingerprint) && rows.size() >= MaxSuspects) {
+        removeOneSuspect(world);
     }
+    return rows[fingerprint];
 }
 
-// Returns the other running daemons whose backend servers belong to the local service.
-std::vector<InstanceId> servicePeers(const World &world)
+// Logs and stores the begin of a quarantine, or removes an ended one from the store.
+void followQuarantine(World &world, Fingerprint fingerprint, bool wasQuarantined)
 {
-    const auto found = world.fleet_.byService_.find(world.admissions_.backend_.service_);
+    const Suspect &suspect = world.suspects_.rows_.at(fingerprint);
+    const bool isNow = isQuarantinedByFailures(world, suspect);
+    if (isNow && !wasQuarantined) {
+        world.emit(LogStateChange{"request quarantined: fingerprint " + std::to_string(fingerprint.value())});
+        storeQuarantine(world, fingerprint, suspect.isStored_);
+    } else if (!isNow && wasQuarantined && suspect.isStored_) {
+        removeStoredQuarantine(world, fingerprint);
+    }
+}
+
+// Returns the other running daemons whose backend servers belong to a service.
+std::vector<InstanceId> servicePeers(const World &world, const ServiceName &service)
+{
+    const auto found = world.fleet_.byService_.find(service);
     std::vector<InstanceId> peers;
     if (found == world.fleet_.byService_.end()) {
         return peers;
@@ -69,13 +101,9 @@
 }
 
 // Sends a notice to all daemons that have not acknowledged it.
-void sendNotice(World &world, PendingSuspectNotice &pending, bool cleared)
+void sendNotice(World &world, PendingSuspectNotice &pending)
 {
-    SuspectRequestNotice notice{pending.token_, pending.fingerprint_, {}, cleared};
-    const auto row = world.suspects_.rows_.find(pending.fingerprint_);
-    if (row != world.suspects_.rows_.end()) {
-        notice.failures_.assign(row->second.failures_.begin(), row->second.failures_.end());
-    }
+    const SuspectRequestNotice notice{pending.token_, recordOf(world, pending.fingerprint_)};
     for (const InstanceId id : pending.unacknowledged_) {
         const Instance *peer = world.fleet_.rows_.get(id);
         if (peer != nullptr) {
@@ -100,7 +128,14 @@
         return;
     }
     world.suspects_.nextPurgeAt_ = world.now_ + PurgeInterval;
-    std::erase_if(world.suspects_.rows_, [&](const auto &entry) { return entry.second.expiresAt_ <= world.now_; });
+    std::erase_if(world.suspects_.rows_, [&](const auto &entry) {
+        const Suspect &suspect = entry.second;
+        const bool isExpired = suspect.expiresAt_ <= world.now_ && !suspect.isQuarantinedByOperator_;
+        if (isExpired && suspect.isStored_) {
+            removeStoredQuarantine(world, entry.first);
+        }
+        return isExpired;
+    });
 }
 
 } // namespace
@@ -108,44 +143,52 @@
 bool isSuspect(const World &world, Fingerprint fingerprint)
 {
     const auto found = world.suspects_.rows_.find(fingerprint);
-    return found != world.suspects_.rows_.end() && found->second.expiresAt_ > world.now_;
+    if (found == world.suspects_.rows_.end()) {
+        return false;
+    }
+    const Suspect &suspect = found->second;
+    return suspect.isQuarantinedByOperator_ || (world.now_ < suspect.expiresAt_ && hasOpenFailure(suspect));
 }
 
 bool isQuarantined(const World &world, Fingerprint fingerprint)
 {
     const auto found = world.suspects_.rows_.find(fingerprint);
-    if (found == world.suspects_.rows_.end() || found->second.expiresAt_ <= world.now_) {
-        return false;
-    }
-    return found->second.isQuarantinedByOperator_ || found->second.failures_.size() >= quarantineThreshold(world);
+    return found != world.suspects_.rows_.end() && (found->second.isQuarantinedByOperator_ || isQuarantinedByFailures(world, found->second));
 }
 
-void markSuspect(World &world, Fingerprint fingerprint, bool isBesideSuspect, ExchangeHandle exchange, std::uint64_t attempt)
+void markSuspect(World &world, const InterruptedRequest &request)
 {
     world.counters_.add(Counter::SuspectsMarked);
-    if (!isBesideSuspect || !isSuspect(world, fingerprint)) {
-        addFailure(world, fingerprint, world.random_.bits64());
+    if (!request.isBesideSuspect_ || !isSuspect(world, request.fingerprint_)) {
+        const SuspectFailure failure{failureIdOf(world, request.backend_), request.wasSuspectAtStart_, false};
+        mergeSuspect(world, SuspectRecord{request.fingerprint_, {failure}, false, suspectDuration(world)});
     }
     PendingSuspectNotice pending;
     pending.token_ = world.random_.bits64();
-    pending.fingerprint_ = fingerprint;
-    pending.unacknowledged_ = servicePeers(world);
-    pending.exchange_ = exchange;
-    pending.attempt_ = attempt;
-    sendNotice(world, pending, false);
+    pending.fingerprint_ = request.fingerprint_;
+    pending.unacknowledged_ = servicePeers(world, request.service_);
+    pending.exchange_ = request.exchange_;
+    pending.attempt_ = request.attempt_;
+    sendNotice(world, pending);
     world.suspects_.pendingNotices_.push_back(std::move(pending));
 }
 
-void clearSuspect(World &world, Fingerprint fingerprint)
+void clearSuspect(World &world, const Offer &offer)
 {
-    if (world.suspects_.rows_.erase(fingerprint) == 0) {
+    const auto found = world.suspects_.rows_.find(offer.fingerprint_);
+    if (found == world.suspects_.rows_.end() || offer.isFingerprintPartial_) {
+        return;
+    }
+    const bool wasQuarantined = isQuarantinedByFailures(world, found->second);
+    if (!clearFailures(found->second)) {
         return;
     }
-    // This notice is sent once and not acknowledged.
+    followQuarantine(world, offer.fingerprint_, wasQuarantined);
+    // Sent once and not acknowledged: daemons that it does not reach learn of it when they compare their suspects.
     PendingSuspectNotice pending;
-    pending.fingerprint_ = fingerprint;
-    pending.unacknowledged_ = servicePeers(world);
-    sendNotice(world, pending, true);
+    pending.fingerprint_ = offer.fingerprint_;
+    pending.unacknowledged_ = servicePeers(world, offer.service_);
+    sendNotice(world, pending);
 }
 
 void applyQuarantine(World &world, const std::string &fingerprint, bool quarantined)
@@ -153,28 +196,57 @@
     std::uint64_t value = 0;
     std::from_chars(fingerprint.data(), fingerprint.data() + fingerprint.size(), value, HexBase);
     if (quarantined) {
-        Suspect &suspect = world.suspects_.rows_[Fingerprint(value)];
-        suspect.isQuarantinedByOperator_ = true;
-        suspect.expiresAt_ = Millis::never();
-    } else {
-        world.suspects_.rows_.erase(Fingerprint(value));
+        suspectRow(world, Fingerprint(value)).isQuarantinedByOperator_ = true;
+        return;
+    }
+    const auto found = world.suspects_.rows_.find(Fingerprint(value));
+    if (found == world.suspects_.rows_.end()) {
+        return;
+    }
+    found->second.isQuarantinedByOperator_ = false;
+    const bool wasQuarantined = isQuarantinedByFailures(world, found->second);
+    if (world.tickets_.isCurrent_ && clearFailures(found->second)) {
+        followQuarantine(world, Fingerprint(value), wasQuarantined);
     }
 }
 
-void handleDatagram(World &world, const Address &from, const SuspectRequestNotice &notice)
+SuspectRecord recordOf(const World &world, Fingerprint fingerprint)
 {
-    if (notice.isCleared_) {
-        const auto found = world.suspects_.rows_.find(notice.fingerprint_);
-        const bool canClear = found != world.suspects_.rows_.end() && !isQuarantined(world, notice.fingerprint_);
-        if (canClear) {
-            world.suspects_.rows_.erase(found);
-        }
+    const auto found = world.suspects_.rows_.find(fingerprint);
+    if (found == world.suspects_.rows_.end()) {
+        return SuspectRecord{fingerprint, {}, false, {}};
+    }
+    const Suspect &suspect = found->second;
+    return SuspectRecord{fingerprint, suspect.failures_, suspect.isStored_, std::max(Millis(), suspect.expiresAt_ - world.now_)};
+}
+
+void mergeSuspect(World &world, const SuspectRecord &record)
+{
+    if (record.failures_.empty() || record.remaining_ < MinMergedTime) {
         return;
     }
-    for (const std::uint64_t failureId : notice.failures_) {
-        addFailure(world, notice.fingerprint_, failureId);
+    Suspect &suspect = suspectRow(world, record.fingerprint_);
+    const bool wasQuarantined = isQuarantinedByFailures(world, suspect);
+    for (const SuspectFailure &failure : record.failures_) {
+        mergeFailure(suspect, failure);
+    }
+    suspect.isStored_ = suspect.isStored_ || record.isStored_;
+    suspect.expiresAt_ = std::max(suspect.expiresAt_, world.now_ + std::min(record.remaining_, MaxSuspectDuration));
+    followQuarantine(world, record.fingerprint_, wasQuarantined);
+}
+
+Millis suspectDuration(const World &world)
+{
+    const ServiceSpec *spec = findService(world, world.admissions_.backend_.service_);
+    return spec == nullptr || spec->quarantine_ == Millis() ? DefaultSuspectDuration : spec->quarantine_;
+}
+
+void handleDatagram(World &world, const Address &from, const SuspectRequestNotice &notice)
+{
+    mergeSuspect(world, notice.record_);
+    if (notice.token_ != 0) {
+        world.emit(SendDatagram{from, regionOfAddress(world, from), SuspectRequestAck{notice.token_}, MessagePurpose::Quarantine});
     }
-    world.emit(SendDatagram{from, regionOfAddress(world, from), SuspectRequestAck{notice.token_}, MessagePurpose::Quarantine});
 }
 
 void handleDatagram(World &world, const Address &from, const SuspectRequestAck &ack)
@@ -193,7 +265,7 @@
     std::erase_if(world.suspects_.pendingNotices_, [&](PendingSuspectNotice &pending) {
         const bool isDue = world.now_ >= pending.nextSendAt_;
         if (!pending.unacknowledged_.empty() && isDue && pending.sendCount_ < MaxSends) {
-            sendNotice(world, pending, false);
+            sendNotice(world, pending);
             return false;
         }
         const bool isFinished = pending.unacknowledged_.empty() || (isDue && pending.sendCount_ >= MaxSends);
--- a/src/fleet/datagram_type.h
+++ b/src/fleet/datagram_type.h
@@ -1,6 +1,7 @@
 // Datagrams exchanged between daemons.
 #pragma once
 
+#include "call/suspect_type.h"
 #include "fleet/instance_type.h"
 #include "measure/load_report_type.h"
 
@@ -34,6 +35,8 @@
     std::uint32_t runningCount_ = 0;
     // Highest ticket number up to which the sender has received every ticket.
     TicketNumber ticket_;
+    // Hash of the sender's suspects. A receiver whose own differs sends its suspects.
+    std::uint64_t suspectsHash_ = 0;
     // True when the sender applies that configuration to calls; false while it is still joining.
     bool isCurrent_ = false;
     // Records for the receiver to merge; the first one is the sender's own.
@@ -77,16 +80,11 @@
     LoadReport report_;
 };
 
-// Informs the daemons of a service about a request that was running when its backend server failed.
+// Informs the daemons of a service about a request that was running when its backend server failed, or that has completed since.
 struct SuspectRequestNotice {
-    // Matches the acknowledgement.
+    // Matches the acknowledgement; zero when none is wanted.
     std::uint64_t token_ = 0;
-    // Hash of the request.
-    Fingerprint fingerprint_;
-    // Ids of the backend server failures during which the request was running.
-    std::vector<std::uint64_t> failures_;
-    // True when the request has since run to completion and is no longer suspected.
-    bool isCleared_ = false;
+    SuspectRecord record_;
 };
 
 // Acknowledges a notice, so that its sender stops repeating it.
@@ -95,7 +93,12 @@
     std::uint64_t token_ = 0;
 };
 
+// Some of the sender's suspects.
+struct SuspectUpdate {
+    std::vector<SuspectRecord> records_;
+};
+
 // Any datagram.
-using Datagram = std::variant<Ping, Ack, PingRequest, Probe, ProbeReply, SuspectRequestNotice, SuspectRequestAck>;
+using Datagram = std::variant<Ping, Ack, PingRequest, Probe, ProbeReply, SuspectRequestNotice, SuspectRequestAck, SuspectUpdate>;
 
 } // namespace radishford
--- a/src/fleet/directory_system.cpp
+++ b/src/fleet/directory_system.cpp
@@ -5,6 +5,7 @@
 
 #include "fleet/gossip_func.h"
 #include "fleet/instance_func.h"
+#include "store/quarantine_store_func.h"
 #include "store/store_func.h"
 #include "world/world.h"
 
@@ -110,6 +111,7 @@
         directory.nextAt_ = world.now_;
         return true;
     }
+    applyStoredQuarantines(world, response);
     if (!addPart(directory, response)) {
         directory.nextAt_ = world.now_;
         return true;
--- a/src/fleet/gossip_system.cpp
+++ b/src/fleet/gossip_system.cpp
@@ -3,6 +3,7 @@
 #include "call/backend_func.h"
 #include "call/backend_notice_func.h"
 #include "call/suspect_func.h"
+#include "call/suspect_sync_func.h"
 #include "fleet/gossip_func.h"
 #include "fleet/instance_func.h"
 #include "measure/probe_func.h"
@@ -99,6 +100,7 @@
     header.tableHash_ = fleet.tableHash_;
     header.runningCount_ = static_cast<std::uint32_t>(fleet.runningCount_);
     header.ticket_ = world.tickets_.highestTicket_;
+    header.suspectsHash_ = suspectsHash(world);
     header.isCurrent_ = world.tickets_.isCurrent_;
     header.records_.push_back(self.record_);
     appendQueuedRecords(world, header.records_);
@@ -349,6 +351,8 @@
 {
     mergeHeader(world, from, ping.header_);
     sendTableIfJoining(world, from, ping.header_.runningCount_);
+    // Sent before the acknowledgement, so that the sender of the ping returns only what this daemon lacks.
+    sendSuspectsIfDifferent(world, from, ping.header_.suspectsHash_);
     const bool isTableDifferent = ping.header_.tableHash_ != world.fleet_.tableHash_;
     Ack ack{makeHeader(world, ping.header_.sequence_, isTableDifferent)};
     appendSupersedingRecord(world, ping.header_, ack.header_.records_);
@@ -376,6 +380,9 @@
 {
     mergeHeader(world, from, ack.header_);
     recordLeaving(world, ack.leavingBackend_);
+    if (ack.header_.sequence_ != 0) {
+        sendSuspectsIfDifferent(world, from, ack.header_.suspectsHash_);
+    }
     auto &pending = world.fleet_.pendingPings_;
     std::erase_if(pending, [&](const PendingPing &ping) { return ping.sequence_ == ack.header_.sequence_; });
     forwardRelayedAck(world, ack.header_);
--- a/src/measure/measurement_budget_system.cpp
+++ b/src/measure/measurement_budget_system.cpp
@@ -4,6 +4,7 @@
 #include "world/world.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace radishford {
 
@@ -15,6 +16,9 @@
 constexpr std::int64_t FixedDatagramBytes = 56;
 // Upper bound of the fixed fields of a record, in bytes.
 constexpr std::int64_t FixedRecordBytes = 56;
+// Upper bound of the fixed fields of a suspect and of one failure, in bytes.
+constexpr std::int64_t FixedSuspectBytes = 24;
+constexpr std::int64_t FailureBytes = 10;
 // Capacity of a bucket, as seconds of its rate.
 constexpr double BurstSeconds = 1.0;
 
@@ -61,9 +65,21 @@
     return FixedDatagramBytes + static_cast<std::int64_t>(reply.sender_.value().size());
 }
 
+// Upper bound of a suspect's encoded size in bytes.
+std::int64_t maxSizeOf(const SuspectRecord &record)
+{
+    return FixedSuspectBytes + FailureBytes * static_cast<std::int64_t>(record.failures_.size());
+}
+
+std::int64_t maxSizeOf(const SuspectUpdate &update)
+{
+    return std::accumulate(update.records_.begin(), update.records_.end(), FixedDatagramBytes,
+                           [](std::int64_t size, const SuspectRecord &record) { return size + maxSizeOf(record); });
+}
+
 std::int64_t maxSizeOf(const SuspectRequestNotice &notice)
 {
-    return FixedDatagramBytes + static_cast<std::int64_t>(notice.failures_.size() * sizeof(std::uint64_t));
+    return FixedDatagramBytes + maxSizeOf(notice.record_);
 }
 
 std::int64_t maxSizeOf(const SuspectRequestAck & /*ack*/)
--- a/src/store/store_cmd.cpp
+++ b/src/store/store_cmd.cpp
@@ -3,6 +3,7 @@
 
 #include "fleet/directory_func.h"
 #include "store/claim_func.h"
+#include "store/quarantine_store_func.h"
 #include "ticket/routing_watch_func.h"
 #include "ticket/ticket_func.h"
 #include "world/world.h"
@@ -19,13 +20,14 @@
 using ResponseHandler = bool (*)(World &, std::uint64_t, const StoreResponse &);
 
 // Handlers of the systems that send requests to the store.
-constexpr std::array<ResponseHandler, 4> ResponseHandlers{handleRoutingWatchResponse, handleDirectoryResponse, handleTicketResponse, handleClaimResponse};
+constexpr std::array<ResponseHandler, 5> ResponseHandlers{handleRoutingWatchResponse, handleDirectoryResponse, handleTicketResponse, handleClaimResponse,
+                                                          handleQuarantineResponse};
 
 // Makes a system start over whose state depends on rows or revisions of the store.
 using RestoreHandler = void (*)(World &);
 
 // Called when the store was restored from an older copy or replaced, before the response that reports it is dispatched.
-constexpr std::array<RestoreHandler, 2> RestoreHandlers{restartRoutingWatch, restartDirectory};
+constexpr std::array<RestoreHandler, 3> RestoreHandlers{restartRoutingWatch, restartDirectory, restartQuarantineStore};
 
 // True when a response may have been overtaken by the one that reported the current era: its request was sent before that one arrived, and
 // it reports a lower era or none.
--- a/src/store/store_type.h
+++ b/src/store/store_type.h
@@ -1,6 +1,7 @@
 // Requests to the platform's store and its responses.
 #pragma once
 
+#include "call/suspect_type.h"
 #include "core/clock_type.h"
 #include "store/member_type.h"
 #include "ticket/ticket_type.h"
@@ -83,15 +84,25 @@
     MemberRow row_;
 };
 
-// Reads rows of the list of daemons.
+// Reads rows of the list of daemons, and of the requests in quarantine, which are kept beside it.
 struct MemberList {
     // First name to read; empty for the start of the list.
     InstanceName from_{};
 };
 
+// Writes the row of a request in quarantine.
+struct QuarantinePut {
+    SuspectRecord record_;
+};
+
+// Deletes the row of a request whose quarantine has ended.
+struct QuarantineDelete {
+    Fingerprint fingerprint_;
+};
+
 // Any request to the store.
-using StoreOperation
-    = std::variant<ClaimInsertBatch, ClaimReplace, ClaimDelete, TicketInsert, TicketRead, TicketVerify, RoutingRead, RoutingWatch, MemberPut, MemberList>;
+using StoreOperation = std::variant<ClaimInsertBatch, ClaimReplace, ClaimDelete, TicketInsert, TicketRead, TicketVerify, RoutingRead, RoutingWatch, MemberPut,
+                                    MemberList, QuarantinePut, QuarantineDelete>;
 
 // Result of writing one claim.
 struct ClaimResult {
@@ -120,6 +131,8 @@
     bool isHistoryCompacted_ = false;
     // Rows of the list of daemons, in the order of their names.
     std::vector<MemberRow> members_;
+    // Requests in quarantine that were read with the list of daemons.
+    std::vector<SuspectRecord> quarantines_;
     // Name from which the list goes on when it does not fit into one response; empty after its last row.
     InstanceName moreMembersFrom_;
     // Errors of the rows that were left out because they cannot be decoded.
--- a/src/table/systems.h
+++ b/src/table/systems.h
@@ -11,6 +11,7 @@
 #include "measure/measurement_budget_func.h"
 #include "measure/probe_func.h"
 #include "store/claim_func.h"
+#include "store/quarantine_store_func.h"
 #include "ticket/routing_watch_func.h"
 #include "ticket/ticket_func.h"
 #include "world/dispatch_func.h"
@@ -40,6 +41,7 @@
     SystemEntry{"ticket", runTickets, nextTicketsDue},
     SystemEntry{"watch", runRoutingWatch, nextRoutingWatchDue},
     SystemEntry{"suspect", runSuspects, nextSuspectsDue},
+    SystemEntry{"quarantine", runQuarantineStore, nextQuarantineStoreDue},
     SystemEntry{"claim", runClaims, nextClaimsDue},
     SystemEntry{"gate", runBackendSpeed, nextBackendSpeedDue},
     SystemEntry{"admit", runAdmit, nextAdmitDue},
--- a/src/wire/serialize.h
+++ b/src/wire/serialize.h
@@ -231,7 +231,8 @@
 template<typename Archive>
 void serializeFields(Archive &archive, GossipHeader &value)
 {
-    serializeAll(archive, value.sender_, value.sequence_, value.tableHash_, value.runningCount_, value.ticket_, value.isCurrent_, value.records_);
+    serializeAll(archive, value.sender_, value.sequence_, value.tableHash_, value.runningCount_, value.ticket_, value.suspectsHash_, value.isCurrent_,
+                 value.records_);
 }
 
 template<typename Archive>
@@ -264,10 +265,28 @@
     serializeAll(archive, value.token_, value.sender_, value.report_);
 }
 
+template<typename Archive>
+void serializeFields(Archive &archive, SuspectFailure &value)
+{
+    serializeAll(archive, value.id_, value.isAttributed_, value.isCleared_);
+}
+
+template<typename Archive>
+void serializeFields(Archive &archive, SuspectRecord &value)
+{
+    serializeAll(archive, value.fingerprint_, value.failures_, value.isStored_, value.remaining_);
+}
+
 template<typename Archive>
 void serializeFields(Archive &archive, SuspectRequestNotice &value)
 {
-    serializeAll(archive, value.token_, value.fingerprint_, value.failures_, value.isCleared_);
+    serializeAll(archive, value.token_, value.record_);
+}
+
+template<typename Archive>
+void serializeFields(Archive &archive, SuspectUpdate &value)
+{
+    serializeField(archive, value.records_);
 }
 
 template<typename Archive>
--- a/src/world/world.h
+++ b/src/world/world.h
@@ -11,6 +11,7 @@
 #include "measure/measurement_table.h"
 #include "measure/retry_window_table.h"
 #include "store/claim_table.h"
+#include "store/quarantine_store_table.h"
 #include "ticket/route_table.h"
 #include "ticket/routing_watch_table.h"
 #include "ticket/ticket_table.h"
@@ -54,6 +55,7 @@
     SuspectTable suspects_;
     TicketTable tickets_;
     ClaimTable claims_;
+    QuarantineStoreTable quarantineStore_;
     MeasurementTable measurement_;
     RetryWindowTable retryWindows_;
     DirectoryTable directory_;
--- a/test/codec_test.cpp
+++ b/test/codec_test.cpp
@@ -49,6 +49,13 @@
     return header;
 }
 
+SuspectRecord randomSuspect()
+{
+    const auto failure = [](std::uint64_t id, bool isAttributed, bool isCleared) { return SuspectFailure{FailureId(id), isAttributed, isCleared}; };
+    const Millis remaining = Millis::fromMicros(*rc::gen::inRange<std::int64_t>(0, 600000000));
+    return SuspectRecord{Fingerprint(*rc::gen::arbitrary<std::uint64_t>()), {failure(7, true, false), failure(8, false, true)}, true, remaining};
+}
+
 // One datagram of each type with random contents.
 std::vector<Datagram> randomDatagrams()
 {
@@ -58,7 +65,8 @@
             Probe{3, ServiceName(randomString())},
             ProbeReply{4, InstanceName(randomString()), LoadReport{Slots(1), Slots(2), Slots(3), Millis(4)}},
             ProbeReply{4, InstanceName(randomString()), LoadReport{Slots(1), Slots(2), Slots(3), Millis(4), {}, 0, {}, {}, Millis(41), Millis(90)}},
-            SuspectRequestNotice{5, Fingerprint(6), {7, 8}, true},
+            SuspectRequestNotice{5, randomSuspect()},
+            SuspectUpdate{{randomSuspect(), SuspectRecord{}, randomSuspect()}},
             SuspectRequestAck{7}};
 }
 
--- a/test/fake/fake_store.h
+++ b/test/fake/fake_store.h
@@ -25,6 +25,8 @@
     std::vector<TicketObject> routing_;
     StoreRevision routingRevision_;
     std::vector<MemberRow> members_;
+    // Requests in quarantine.
+    std::map<Fingerprint, SuspectRecord> quarantines_;
     // Most rows of the list of daemons in one response.
     std::size_t maxMemberRows_ = 500;
     // Revision of the latest change of any row.
@@ -56,6 +58,7 @@
         routing_ = copy.routing_;
         routingRevision_ = copy.routingRevision_;
         members_ = copy.members_;
+        quarantines_ = copy.quarantines_;
         revision_ = copy.revision_;
         era_ = StoreEra(era_.value() + 1);
     }
@@ -143,10 +146,29 @@
         return {};
     }
 
+    StoreResponse apply(const QuarantinePut &put)
+    {
+        ++writeCount_;
+        writeOtherRows(1);
+        quarantines_[put.record_.fingerprint_] = put.record_;
+        return {};
+    }
+
+    StoreResponse apply(const QuarantineDelete &removal)
+    {
+        ++writeCount_;
+        writeOtherRows(1);
+        quarantines_.erase(removal.fingerprint_);
+        return {};
+    }
+
     StoreResponse apply(const MemberList &list)
     {
         ++readCount_;
         StoreResponse response;
+        for (const auto &[fingerprint, record] : quarantines_) {
+            response.quarantines_.push_back(record);
+        }
         std::copy_if(members_.begin(), members_.end(), std::back_inserter(response.members_), [&](const MemberRow &row) { return row.name_ >= list.from_; });
         std::sort(response.members_.begin(), response.members_.end(),
                   [](const MemberRow &first, const MemberRow &second) { return first.name_ < second.name_; });
--- a/test/suspect_test.cpp
+++ b/test/suspect_test.cpp
@@ -33,6 +33,12 @@
     return call;
 }
 
+// A notice of one failure.
+SuspectRequestNotice noticeOf(std::uint64_t token, Fingerprint fingerprint, std::uint64_t failure)
+{
+    return SuspectRequestNotice{token, SuspectRecord{fingerprint, {SuspectFailure{FailureId(failure), false, false}}, false, Millis(60000)}};
+}
+
 // Sends a crashing request through one daemon after another, each time after the previous send has failed.
 void sendRepeatedly(FakeFleet &fleet, const FakeCall &call, int sends)
 {
@@ -105,7 +111,7 @@
     startWithTicket(fleet);
     fleet.instances_[0].serviceTime_ = Millis(50);
     for (const char *name : {"first", "second", "third"}) {
-        const SuspectRequestNotice notice{1, Fingerprint(hashBytes(name)), {hashBytes(name)}, false};
+        const SuspectRequestNotice notice = noticeOf(1, Fingerprint(hashBytes(name)), hashBytes(name));
         fleet.post(0, DatagramArrived{Address{9, 9}, notice});
     }
     std::vector<std::size_t> calls;
@@ -124,10 +130,10 @@
     FakeFleet fleet(1, 36);
     startWithTicket(fleet);
     const Fingerprint fingerprint(7);
-    fleet.post(0, DatagramArrived{Address{9, 9}, SuspectRequestNotice{1, fingerprint, {11}, false}});
-    fleet.post(0, DatagramArrived{Address{9, 9}, SuspectRequestNotice{1, fingerprint, {11}, false}});
+    fleet.post(0, DatagramArrived{Address{9, 9}, noticeOf(1, fingerprint, 11)});
+    fleet.post(0, DatagramArrived{Address{9, 9}, noticeOf(1, fingerprint, 11)});
     BOOST_TEST(!isQuarantined(fleet.world(0), fingerprint));
-    fleet.post(0, DatagramArrived{Address{9, 8}, SuspectRequestNotice{2, fingerprint, {12}, false}});
+    fleet.post(0, DatagramArrived{Address{9, 8}, noticeOf(2, fingerprint, 12)});
     BOOST_TEST(isQuarantined(fleet.world(0), fingerprint));
 }
 
