Servers that crash together do not quarantine what they were serving

Cause: each copy of a request that was running at a crash counted as a failure of that request, so that one moment was enough for a quarantine. Then no answer could clear it, since none was let through.

Ruled out: a higher threshold. It would only ask for more servers to crash at once, and let a crashing request have more of them.

Change: of the failures that are not attributed to a request, at most one counts. A failure is attributed when the request was the only suspect on the server. A request with three failures of which too few are attributed runs on one server of the service only, chosen by its fingerprint, until it has completed or is in quarantine, so that copies that come at once do not crash one server each.

Evidence: a_crash_of_many_servers_does_not_quarantine_what_they_were_serving on: in quarantine at four of six daemons, and refused afterwards; it passes now, and the crashing request of the same test is refused after its third crash. Without the choice of one server, six copies at once reached six servers later than 3 s after the third crash (copies_of_a_crashing_request_at_once_reach_few_servers, 3 allowed); it passes with it.

--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -10,6 +10,7 @@
 #include "call/load_shedding_func.h"
 #include "call/request_limit_func.h"
 #include "call/suspect_func.h"
+#include "call/suspect_trial_func.h"
 #include "call/transit_func.h"
 #include "store/claim_func.h"
 #include "ticket/ticket_func.h"
@@ -126,6 +127,9 @@
     if (offer.remaining_ <= Millis()) {
         return ResultCode::DeadlineNotRun;
     }
+    if (!mayRunHere(world, offer.fingerprint_, offer.service_)) {
+        return ResultCode::TooManyCalls;
+    }
     return world.admissions_.rows_.size() >= world.settings_.maxCalls_ ? ResultCode::TooManyCalls : ResultCode::Ok;
 }
 
@@ -760,6 +764,10 @@
         failAdmission(world, id, ResultCode::Quarantined);
         return;
     }
+    if (!mayRunHere(world, row.offer_.fingerprint_, row.offer_.service_)) {
+        failAdmission(world, id, ResultCode::TooManyCalls);
+        return;
+    }
     if (!spendToken(world, row)) {
         failAdmission(world, id, ResultCode::BackendLimited);
         return;
--- a/src/call/suspect_func.h
+++ b/src/call/suspect_func.h
@@ -20,6 +20,9 @@
 // True when the request is refused: it was running at enough failures, or an operator quarantined it.
 bool isQuarantined(const World &world, Fingerprint fingerprint);
 
+// True when the request was running at enough failures for a quarantine, but too few of them are attributed to it.
+bool isOnTrial(const World &world, Fingerprint fingerprint);
+
 // Counts a failure of its backend server against a request and notifies the daemons of the service. The exchange is ended once they have acknowledged, or after
 // a short time. When another suspect ran at the same time, it most likely caused the failure. The failure then only makes the request a
 // suspect; it is not counted for one that already is.
--- a/src/call/suspect_merge_func.h
+++ b/src/call/suspect_merge_func.h
@@ -18,8 +18,9 @@
 
 // Policy for callers that send requests by service and class: any two failures.
 inline constexpr QuarantinePolicy NativePolicy{2, 2};
-// Policy of a routed deployment: any three failures.
-inline constexpr QuarantinePolicy RoutedPolicy{3, 3};
+// Policy of a routed deployment: three failures, one of them at most unattributed. When many servers fail at the same moment, what they were all running counts
+// as having failed once.
+inline constexpr QuarantinePolicy RoutedPolicy{3, 1};
 
 // Adds a failure, or sets the flags of a known one. Returns true when anything has changed. The number of failures is bounded; beyond it, cleared ones and then
 // those that are not attributed are dropped first.
--- a/src/call/suspect_system.cpp
+++ b/src/call/suspect_system.cpp
@@ -156,6 +156,13 @@
     return found != world.suspects_.rows_.end() && (found->second.isQuarantinedByOperator_ || isQuarantinedByFailures(world, found->second));
 }
 
+bool isOnTrial(const World &world, Fingerprint fingerprint)
+{
+    const auto found = world.suspects_.rows_.find(fingerprint);
+    const bool isSuspected = found != world.suspects_.rows_.end() && world.now_ < found->second.expiresAt_;
+    return isSuspected && countOpenFailures(found->second) >= quarantinePolicy(world).threshold_ && !isQuarantined(world, fingerprint);
+}
+
 void markSuspect(World &world, const InterruptedRequest &request)
 {
     world.counters_.add(Counter::SuspectsMarked);
--- a/test/suspect_sync_test.cpp
+++ b/test/suspect_sync_test.cpp
@@ -138,6 +138,68 @@
     BOOST_TEST(fixture.fleet_.store_.quarantines_.empty());
 }
 
+// Guards against a harmless page in quarantine after the servers of a zone that were serving it have crashed at the same moment.
+BOOST_AUTO_TEST_CASE(a_crash_of_many_servers_does_not_quarantine_what_they_were_serving)
+{
+    CrashFixture fixture;
+    FakeFleet &fleet = fixture.fleet_;
+    fleet.serviceTimeOf_ = [](std::size_t) { return Millis(200); };
+    const auto readPage = [&](std::size_t index) {
+        FakeCall page = routedCall("page" + std::to_string(++fixture.sends_), true);
+        page.fingerprint_ = 17;
+        return fleet.call(index, page);
+    };
+    for (std::size_t reader = 0; reader < 18; ++reader) {
+        readPage(reader % Instances);
+    }
+    fleet.runFor(Millis(100));
+    for (std::size_t index = 0; index < 4; ++index) {
+        BOOST_REQUIRE(fleet.instances_[index].running_ > 0);
+        fleet.failBackend(index, Millis(3000));
+    }
+    fleet.runFor(Millis(6000));
+    for (std::size_t index = 0; index < Instances; ++index) {
+        BOOST_TEST(!isQuarantined(fleet.world(index), Fingerprint(17)), index);
+    }
+    const std::size_t again = readPage(0);
+    fleet.runFor(Millis(1000));
+    BOOST_TEST(fleet.results_[again].responseToken_.has_value());
+    BOOST_TEST(!isSuspect(fleet.world(0), Fingerprint(17)));
+    // The other side: a request that does crash servers is still refused, although pages are served beside it.
+    fixture.crashServers();
+    fixture.send(4);
+    BOOST_TEST(fleet.backendCrashes_ == MaxCrashes);
+}
+
+// Guards against a request that crashes a server at each of its copies when it comes many times at once, again and again.
+BOOST_AUTO_TEST_CASE(copies_of_a_crashing_request_at_once_reach_few_servers)
+{
+    for (const std::size_t copies : {2U, 3U, 6U}) {
+        CrashFixture fixture;
+        std::vector<Millis> crashes;
+        fixture.fleet_.effectObserver_ = [&](std::size_t, const Effect &effect) {
+            if (std::holds_alternative<HandOver>(effect)) {
+                crashes.push_back(fixture.fleet_.now());
+            }
+        };
+        int late = 0;
+        for (int round = 0; round < 6; ++round) {
+            const bool isCounted = crashes.size() >= MaxCrashes && fixture.fleet_.now() > crashes[MaxCrashes - 1] + StableWindow;
+            const std::size_t before = crashes.size();
+            for (std::size_t copy = 0; copy < copies; ++copy) {
+                FakeCall call = routedCall("copy" + std::to_string(++fixture.sends_), false);
+                call.fingerprint_ = CrashingFingerprint;
+                call.crashesBackend_ = true;
+                fixture.fleet_.call(copy, call);
+            }
+            fixture.fleet_.runFor(Millis(4000));
+            late += isCounted ? static_cast<int>(crashes.size() - before) : 0;
+        }
+        BOOST_TEST(late <= MaxCrashes, copies << " copies: " << late);
+        BOOST_TEST(fixture.isKnownAt(0), copies);
+    }
+}
+
 // Guards against an answer to one request that ends an operator's quarantine, or that clears another request of which only the first part is known.
 BOOST_AUTO_TEST_CASE(an_answer_clears_only_failures_of_its_own_request)
 {
