Quarantines: the store follows one that ends during its write, and failures of a former server stay with it

- A quarantine that was cleared while its row was being written stayed in the store; it is deleted now.
A write that failed no longer replaces a later deletion.
The store follows the failures alone, whatever an operator has set.
- A hung request of a former start counted as an outcome of its successor when its deadline passed or its caller left.
- The list of suspects left out nothing that had been cleared, and counted cleared failures; an operator's quarantine has no end there.
- The rows of quarantines in the platform's store have a test of their encoding.

--- a/src/call/admission_cmd.cpp
+++ b/src/call/admission_cmd.cpp
@@ -514,12 +514,13 @@
     return AdmissionId{};
 }
 
-// Counts an abandoned request as a failure of the backend server when it ran HungFactor times as long as requests of its class usually do.
+// Counts an abandoned request as a failure of its backend server, if that is still bound, when it ran HungFactor times as long as requests of its class usually
+// do.
 void recordFailureIfHung(World &world, const Admission &row)
 {
     const std::int32_t slowness = std::max(UsualSlownessPercent, row.slownessAtHandOver_.value());
     const Millis expected = Millis::fromMicros(typicalServiceTime(world, row.offer_).micros() * slowness / UsualSlownessPercent);
-    if (expected > Millis() && world.now_ - row.handedOverAt_ > expected * HungFactor) {
+    if (isForCurrentBackend(world, row) && expected > Millis() && world.now_ - row.handedOverAt_ > expected * HungFactor) {
         recordOutcome(world, false);
     }
 }
--- a/src/call/suspect_func.h
+++ b/src/call/suspect_func.h
@@ -20,6 +20,9 @@
 // True when the request is refused: it was running at enough failures, or an operator quarantined it.
 bool isQuarantined(const World &world, Fingerprint fingerprint);
 
+// True when the request is refused for its failures, whatever an operator has set.
+bool isQuarantinedByFailures(const World &world, Fingerprint fingerprint);
+
 // True when the request was running at enough failures for a quarantine, but too few of them are attributed to it.
 bool isOnTrial(const World &world, Fingerprint fingerprint);
 
--- a/src/call/suspect_system.cpp
+++ b/src/call/suspect_system.cpp
@@ -156,6 +156,12 @@
     return found != world.suspects_.rows_.end() && (found->second.isQuarantinedByOperator_ || isQuarantinedByFailures(world, found->second));
 }
 
+bool isQuarantinedByFailures(const World &world, Fingerprint fingerprint)
+{
+    const auto found = world.suspects_.rows_.find(fingerprint);
+    return found != world.suspects_.rows_.end() && isQuarantinedByFailures(world, found->second);
+}
+
 bool isOnTrial(const World &world, Fingerprint fingerprint)
 {
     const auto found = world.suspects_.rows_.find(fingerprint);
--- a/src/daemon/admin_server.cpp
+++ b/src/daemon/admin_server.cpp
@@ -3,6 +3,7 @@
 
 #include "call/backend_func.h"
 #include "call/suspect_func.h"
+#include "call/suspect_merge_func.h"
 #include "core/error.h"
 #include "daemon/metrics.h"
 #include "fleet/instance_func.h"
@@ -168,11 +169,15 @@
     const World &world = worldRunner_.world();
     json::array rows;
     for (const auto &[fingerprint, suspect] : world.suspects_.rows_) {
+        if (!isSuspect(world, fingerprint)) {
+            continue;
+        }
+        const Millis endsAt = suspect.isQuarantinedByOperator_ ? Millis::never() : suspect.expiresAt_;
         rows.push_back(json::object{
             {"fingerprint", toHex(fingerprint.value())},
-            {"failures", suspect.failures_.size()},
+            {"failures", countOpenFailures(suspect)},
             {"quarantined", isQuarantined(world, fingerprint)},
-            {"seconds_left", std::max<std::int64_t>(0, (suspect.expiresAt_ - world.now_).count() / 1000)},
+            {"seconds_left", std::max<std::int64_t>(0, (endsAt - world.now_).count() / 1000)},
         });
     }
     return jsonPage(rows);
--- a/src/store/quarantine_store_system.cpp
+++ b/src/store/quarantine_store_system.cpp
@@ -34,14 +34,14 @@
 // True when a change is still to be made, by this daemon or another one.
 bool isOutstanding(const World &world, const QuarantineChange &change)
 {
-    const bool isInQuarantine = isQuarantined(world, change.fingerprint_);
+    const bool isInQuarantine = isQuarantinedByFailures(world, change.fingerprint_);
     if (change.isRemoval_) {
         return !isInQuarantine;
     }
     return isInQuarantine && (change.isRepeated_ || !recordOf(world, change.fingerprint_).isStored_);
 }
 
-// Adds a change unless the same one waits.
+// Adds a change, which replaces an earlier one of the same request.
 void addChange(World &world, const QuarantineChange &change)
 {
     auto &waiting = world.quarantineStore_.waiting_;
@@ -65,6 +65,18 @@
     table.pendingRequest_ = sendStoreRequest(world, operation);
 }
 
+// Records that the row of a request is in the store. It is deleted again if the quarantine has ended meanwhile.
+void recordStored(World &world, Fingerprint fingerprint)
+{
+    const auto row = world.suspects_.rows_.find(fingerprint);
+    if (row != world.suspects_.rows_.end()) {
+        row->second.isStored_ = true;
+    }
+    if (!isQuarantinedByFailures(world, fingerprint)) {
+        removeStoredQuarantine(world, fingerprint);
+    }
+}
+
 } // namespace
 
 void storeQuarantine(World &world, Fingerprint fingerprint, bool wasStored)
@@ -83,7 +95,7 @@
         record.isStored_ = true;
         record.remaining_ = suspectDuration(world);
         mergeSuspect(world, record);
-        if (!isQuarantined(world, record.fingerprint_)) {
+        if (!isQuarantinedByFailures(world, record.fingerprint_)) {
             removeStoredQuarantine(world, record.fingerprint_);
         }
     }
@@ -101,13 +113,16 @@
         world.counters_.add(Counter::StoreFailures);
         table.nextAt_ = world.now_ + InitialRetryDelay * (std::int64_t{1} << std::min(table.consecutiveFailures_, MaxRetryDoublings));
         ++table.consecutiveFailures_;
-        addChange(world, change);
+        const bool isReplaced = std::any_of(table.waiting_.begin(), table.waiting_.end(),
+                                            [&](const QuarantineChange &later) { return later.fingerprint_ == change.fingerprint_; });
+        if (!isReplaced) {
+            addChange(world, change);
+        }
         return true;
     }
     table.consecutiveFailures_ = 0;
-    const auto row = world.suspects_.rows_.find(change.fingerprint_);
-    if (!change.isRemoval_ && row != world.suspects_.rows_.end()) {
-        row->second.isStored_ = true;
+    if (!change.isRemoval_) {
+        recordStored(world, change.fingerprint_);
     }
     return true;
 }
--- a/test/platform_test.cpp
+++ b/test/platform_test.cpp
@@ -408,6 +408,25 @@
     BOOST_CHECK_THROW(store.encode(TicketRead{}), Error);
 }
 
+BOOST_AUTO_TEST_CASE(requests_in_quarantine_are_kept_beside_the_list_of_daemons)
+{
+    const auto &store = platform::httpAdapters().store_;
+    const std::vector<SuspectFailure> failures{{FailureId(1), true, false}, {FailureId(~0ULL), false, false}, {FailureId(7), true, true}};
+    const SuspectRecord record{Fingerprint(0x1267), failures, false, {}};
+    const json::value written = json::parse(store.encode(QuarantinePut{record}).body()).at("writes").at(0);
+    const json::value removed = json::parse(store.encode(QuarantineDelete{record.fingerprint_}).body()).at("remove").at(0);
+    BOOST_TEST(written.at("key") == removed.at("key"));
+    const json::value odd = json::object{{"key", "quarantine/x"}, {"value", toBase64("1+,")}};
+    const StoreResponse response
+        = store.decode(MemberList{}, responseWithRows({json::object{{"key", "n1"}, {"value", toBase64("10.0.0.1:7660")}}, odd, written}));
+    BOOST_TEST(response.members_.size() == 1U);
+    BOOST_TEST(response.rowErrors_.size() == 1U);
+    BOOST_REQUIRE(response.quarantines_.size() == 1U);
+    BOOST_TEST((response.quarantines_.front().fingerprint_ == record.fingerprint_));
+    // A failure that is cleared is not stored.
+    BOOST_TEST((response.quarantines_.front().failures_ == std::vector(failures.begin(), failures.begin() + 2)));
+}
+
 // One row that cannot be decoded hid the rows of all other daemons.
 BOOST_AUTO_TEST_CASE(an_invalid_row_does_not_hide_the_list_of_daemons)
 {
