--- a/src/daemon/settings_watcher.h
+++ b/src/daemon/settings_watcher.h
@@ -13,7 +13,8 @@
 // Parses the text of a settings file. Throws Error when it is invalid.
 using SettingsParser = std::function<DaemonSettings(const std::string &)>;
 
-// Reads the file on SIGHUP, when it changes, and at regular intervals in case a change was not noticed. An invalid file is logged, and the active settings are kept.
+// Reads the file on SIGHUP, when it changes, and at regular intervals in case a change was not noticed. An invalid file is logged, and the active settings are
+// kept.
 class SettingsWatcher
 {
 public:
